--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 GO       ?= go
-MODULES  := common arbutus-agent arbutus-balancer arbutus-lab arbutusctl
+MODULES  := common arbutus-agent arbutus-balancer arbutus-lab arbutusctl platform
 PROGRAMS := arbutus-agent arbutus-balancer arbutus-lab arbutusctl
 TOOLS    := $(CURDIR)/bin/tools
 PACKAGES := $(foreach m,$(MODULES),./$(m)/...)
--- a/arbutus-agent/agent/peers.go
+++ b/arbutus-agent/agent/peers.go
@@ -27,6 +27,7 @@
 	"arbutusfront.dev/common/coordination/member"
 	controlv1 "arbutusfront.dev/common/protocol/gen/arbutus/control/v1"
 	"arbutusfront.dev/common/protocol/ipv4"
+	"arbutusfront.dev/common/state/load"
 	"arbutusfront.dev/common/state/placement"
 	"arbutusfront.dev/common/transport/wait"
 )
@@ -52,12 +53,12 @@
 		// Held returns the flows that this agent holds; Load counts them with
 		// those that are being opened.
 		Held func() []ipv4.FlowKey
-		Load func() state.Load
+		Load func() load.Load
 	}
 
 	// toldLoad is what another agent last told of its load.
 	toldLoad struct {
-		state.Load
+		load.Load
 		at time.Time
 	}
 
@@ -67,6 +68,7 @@
 		self      func() member.Member
 		send      func(to netip.AddrPort, m *controlv1.Datagram)
 		directory Directory
+		gather    time.Duration
 		log       log.Logger
 
 		mu    sync.Mutex
@@ -95,15 +97,19 @@
 // WithLogger sets where events are logged.
 func WithLogger(l log.Logger) Option { return func(p *Peers) { p.log = l } }
 
+// WithGather sets how long updates are gathered for one message.
+func WithGather(d time.Duration) Option { return func(p *Peers) { p.gather = d } }
+
 // New returns the peers of an agent.
 func New(node *state.Node, opts ...Option) *Peers {
 	p := &Peers{
-		node:  node,
-		log:   log.NewNopLogger(),
-		tasks: make(map[uint64]*task),
-		told:  make(map[ipv4.FlowKey][]uint64),
-		loads: make(map[uint64]toldLoad),
-		ctx:   context.Background(),
+		node:   node,
+		gather: gatherPause,
+		log:    log.NewNopLogger(),
+		tasks:  make(map[uint64]*task),
+		told:   make(map[ipv4.FlowKey][]uint64),
+		loads:  make(map[uint64]toldLoad),
+		ctx:    context.Background(),
 	}
 	for _, opt := range opts {
 		opt(p)
@@ -149,18 +155,19 @@
 	delete(p.told, key)
 }
 
-// LoadOf returns the load that another agent has lately told of.
-func (p *Peers) LoadOf(instance uint64) (load state.Load, known bool) {
+// LoadOf returns the load that another agent has lately told of, and whether it
+// has.
+func (p *Peers) LoadOf(instance uint64) (load.Load, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l, ok := p.loads[instance]
-	return l.Load, ok && time.Since(l.at) < loadLifetime
+	told, ok := p.loads[instance]
+	return told.Load, ok && time.Since(told.at) < loadLifetime
 }
 
 func (p *Peers) noteLoad(instance uint64, flows, requests uint32) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.loads[instance] = toldLoad{Load: state.Load{Flows: int(flows), Requests: int(requests)}, at: time.Now()}
+	p.loads[instance] = toldLoad{Load: load.Load{Flows: int(flows), Requests: int(requests)}, at: time.Now()}
 }
 
 // Handle takes in a control message of another agent.
--- a/arbutus-agent/agent/task.go
+++ b/arbutus-agent/agent/task.go
@@ -88,7 +88,7 @@
 			return
 		case <-t.wake:
 		}
-		if !wait.For(ctx, gatherPause) {
+		if !wait.For(ctx, p.gather) {
 			return
 		}
 		r := &controlv1.Register{Sequence: sequence}
--- a/arbutus-agent/serve/notices.go
+++ b/arbutus-agent/balancer/notices.go
@@ -1,4 +1,4 @@
-package serve
+package balancer
 
 import (
 	"net/netip"
@@ -15,18 +15,26 @@
 	maxNoticed     = 4096
 )
 
-// notices tells the senders of packets about this agent, each at most once in
-// an interval.
-type notices struct {
+// Notices tells the senders of packets about this agent, each at most once in an
+// interval.
+type Notices struct {
 	node      *state.Node
 	announcer *heartbeat.Announcer
-	out       *sender
+	send      func(to netip.AddrPort, m *controlv1.Datagram)
 
 	mu   sync.Mutex
 	last map[netip.AddrPort]time.Time
 }
 
-func (n *notices) send(to netip.AddrPort) {
+// NewNotices returns the notices of an agent.
+func NewNotices(
+	node *state.Node, announcer *heartbeat.Announcer, send func(to netip.AddrPort, m *controlv1.Datagram),
+) *Notices {
+	return &Notices{node: node, announcer: announcer, send: send, last: make(map[netip.AddrPort]time.Time)}
+}
+
+// Send tells the process at the address, if that is due.
+func (n *Notices) Send(to netip.AddrPort) {
 	now := time.Now()
 	n.mu.Lock()
 	if len(n.last) >= maxNoticed {
@@ -41,7 +49,7 @@
 		return
 	}
 	v := n.node.View()
-	n.out.send(to, &controlv1.Datagram{Body: &controlv1.Datagram_Notice{Notice: &controlv1.Notice{
+	n.send(to, &controlv1.Datagram{Body: &controlv1.Datagram_Notice{Notice: &controlv1.Notice{
 		Member:    n.announcer.Self().Encode(),
 		Revision:  v.Revision,
 		DomainOut: v.DomainOut,
--- a/arbutus-agent/flow/admit.go
+++ b/arbutus-agent/flow/admit.go
@@ -7,6 +7,7 @@
 
 	"arbutusfront.dev/arbutus-agent/backend"
 	"arbutusfront.dev/arbutus-agent/caller"
+	"arbutusfront.dev/arbutus-agent/directory"
 	"arbutusfront.dev/arbutus-agent/state"
 	"arbutusfront.dev/common/coordination/member"
 	"arbutusfront.dev/common/protocol/capsule"
@@ -47,13 +48,13 @@
 	}
 	h.Visited = append(h.Visited, e.self().Instance)
 	visited := h.Visited
-	if known, ok := e.directory.get(key); ok && known.instance != e.self().Instance {
-		if e.node.IsGone(known.instance) {
+	if known, ok := e.directory.Get(key); ok && known.Instance != e.self().Instance {
+		if e.node.IsGone(known.Instance) {
 			// The caller comes back from the same port: its old flow must not
 			// be mistaken for the new one.
-			e.directory.remove(key, known.instance)
+			e.directory.Remove(key, known.Instance)
 		}
-		if c, alive := v.Agents.ByInstance(known.instance); alive && !slices.Contains(visited, c.Instance) {
+		if c, alive := v.Agents.ByInstance(known.Instance); alive && !slices.Contains(visited, c.Instance) {
 			e.passOn(v, c, visited, p)
 			return
 		}
@@ -114,7 +115,7 @@
 
 // offerTo passes a SYN on to a candidate and remembers to which.
 func (e *Engine) offerTo(v *state.View, to *placement.Candidate, visited []uint64, p ipv4.Packet) {
-	e.directory.put(p.Key(), holding{instance: to.Instance, tentative: true, at: e.now()})
+	e.directory.Put(p.Key(), directory.Holding{Instance: to.Instance, Tentative: true, At: e.now()})
 	e.passOn(v, to, visited, p)
 }
 
--- a/arbutus-agent/flow/dump.go
+++ b/arbutus-agent/flow/dump.go
@@ -30,7 +30,7 @@
 	now := e.now()
 	e.mu.RLock()
 	defer e.mu.RUnlock()
-	d := Dump{Held: len(e.flows), Directory: e.directory.len()}
+	d := Dump{Held: len(e.flows), Directory: e.directory.Len()}
 	for key, f := range e.flows {
 		if len(d.Listed) == dumpedFlows {
 			break
--- a/arbutus-agent/flow/engine.go
+++ b/arbutus-agent/flow/engine.go
@@ -24,10 +24,13 @@
 
 	"arbutusfront.dev/arbutus-agent/backend"
 	"arbutusfront.dev/arbutus-agent/caller"
+	"arbutusfront.dev/arbutus-agent/directory"
 	"arbutusfront.dev/arbutus-agent/state"
 	"arbutusfront.dev/common/coordination/member"
 	"arbutusfront.dev/common/protocol/capsule"
 	"arbutusfront.dev/common/protocol/ipv4"
+	"arbutusfront.dev/common/state/load"
+	"arbutusfront.dev/common/state/orphan"
 )
 
 const (
@@ -41,8 +44,8 @@
 		node      *state.Node
 		backend   *backend.Server
 		stack     *caller.Stack
-		directory *directory
-		orphans   *orphans
+		directory *directory.Directory
+		orphans   *orphan.Set
 		now       func() time.Time
 		metrics   metrics
 
@@ -59,7 +62,7 @@
 		// returns the load that another agent has lately told of.
 		opened func(ipv4.FlowKey)
 		closed func(ipv4.FlowKey)
-		loadOf func(instance uint64) (load state.Load, known bool)
+		loadOf func(instance uint64) (l load.Load, known bool)
 
 		mu    sync.RWMutex
 		flows map[ipv4.FlowKey]*Flow
@@ -100,7 +103,7 @@
 }
 
 // WithLoads sets how the load of other agents is known.
-func WithLoads(f func(instance uint64) (load state.Load, known bool)) Option {
+func WithLoads(f func(instance uint64) (l load.Load, known bool)) Option {
 	return func(e *Engine) { e.loadOf = f }
 }
 
@@ -112,14 +115,14 @@
 	e := &Engine{
 		node:      node,
 		backend:   b,
-		directory: newDirectory(),
-		orphans:   newOrphans(),
+		directory: directory.New(),
+		orphans:   orphan.New(),
 		now:       time.Now,
 		metrics:   newMetrics(tally.NoopScope),
 		notify:    func(netip.AddrPort) {},
 		opened:    func(ipv4.FlowKey) {},
 		closed:    func(ipv4.FlowKey) {},
-		loadOf:    func(uint64) (state.Load, bool) { return state.Load{}, false },
+		loadOf:    func(uint64) (load.Load, bool) { return load.Load{}, false },
 		flows:     make(map[ipv4.FlowKey]*Flow),
 		ctx:       context.Background(),
 	}
@@ -226,20 +229,20 @@
 func (e *Engine) Flows() int { return e.Load().Flows }
 
 // Load returns the load of the backend server as this agent sees it.
-func (e *Engine) Load() state.Load {
+func (e *Engine) Load() load.Load {
 	l := e.backend.Limiter.Limits()
-	return state.Load{Flows: l.Held, Requests: l.InFlight + l.Waiting}
+	return load.Load{Flows: l.Held, Requests: l.InFlight + l.Waiting}
 }
 
 // Register notes that the agent instance holds the flow.
 func (e *Engine) Register(key ipv4.FlowKey, instance uint64) {
-	e.directory.put(key, holding{instance: instance, at: e.now()})
-	e.orphans.found(key)
+	e.directory.Put(key, directory.Holding{Instance: instance, At: e.now()})
+	e.orphans.Found(key)
 }
 
 // Unregister notes that the agent instance no longer holds the flow.
 func (e *Engine) Unregister(key ipv4.FlowKey, instance uint64) {
-	e.directory.remove(key, instance)
+	e.directory.Remove(key, instance)
 }
 
 // Held returns the keys of the flows that callers have accepted here.
@@ -273,7 +276,7 @@
 // the probe, whose numbers are not acceptable, by an acknowledgment, and that
 // one by its numbers the RST that it accepts.
 func (e *Engine) ProbeHeldBy(instance uint64) int {
-	keys := e.directory.heldBy(instance)
+	keys := e.directory.HeldBy(instance)
 	for _, key := range keys {
 		e.reply(ipv4.Build(ipv4.Segment{Key: key, FromService: true, Flags: ipv4.FlagACK}))
 	}
@@ -289,10 +292,10 @@
 func (e *Engine) expire() {
 	now := e.now()
 	e.node.Forget()
-	e.orphans.expire(now)
+	e.orphans.Expire(now)
 	known := make(map[uint64]bool)
 	for _, m := range e.node.Table.Snapshot().Members {
 		known[m.Instance] = true
 	}
-	e.directory.expire(now, func(instance uint64) bool { return !known[instance] })
+	e.directory.Expire(now, func(instance uint64) bool { return !known[instance] })
 }
--- a/arbutus-agent/flow/segment.go
+++ b/arbutus-agent/flow/segment.go
@@ -3,9 +3,11 @@
 import (
 	"slices"
 
+	"arbutusfront.dev/arbutus-agent/directory"
 	"arbutusfront.dev/arbutus-agent/state"
 	"arbutusfront.dev/common/protocol/capsule"
 	"arbutusfront.dev/common/protocol/ipv4"
+	"arbutusfront.dev/common/state/orphan"
 	"arbutusfront.dev/common/state/placement"
 	"arbutusfront.dev/common/transport/datagram"
 )
@@ -25,12 +27,12 @@
 	self := e.self().Instance
 	h.Visited = append(h.Visited, self)
 	visited := h.Visited
-	if known, ok := e.directory.get(key); ok {
-		if c, alive := v.Agents.ByInstance(known.instance); alive && !slices.Contains(visited, c.Instance) {
+	if known, ok := e.directory.Get(key); ok {
+		if c, alive := v.Agents.ByInstance(known.Instance); alive && !slices.Contains(visited, c.Instance) {
 			e.passOn(v, c, visited, p)
 			return
 		}
-		if !known.tentative && e.node.IsGone(known.instance) {
+		if !known.Tentative && e.node.IsGone(known.Instance) {
 			e.endOrphan(p, known)
 			return
 		}
@@ -41,7 +43,7 @@
 			return
 		}
 	}
-	if e.orphans.mayReset(key, e.now()) && e.node.MayJudge() {
+	if e.orphans.MayReset(key, e.now(), orphan.Patience) && e.node.MayJudge() {
 		e.resetOrphan(p)
 		return
 	}
@@ -50,9 +52,9 @@
 
 // endOrphan tells a caller that the flow's agent is gone. A RST of the caller
 // shows that it knows.
-func (e *Engine) endOrphan(p ipv4.Packet, known holding) {
+func (e *Engine) endOrphan(p ipv4.Packet, known directory.Holding) {
 	if p.Flags().Has(ipv4.FlagRST) {
-		e.directory.remove(p.Key(), known.instance)
+		e.directory.Remove(p.Key(), known.Instance)
 		return
 	}
 	e.resetOrphan(p)
--- /dev/null
+++ b/arbutus-agent/passthrough/observe.go
@@ -0,0 +1,76 @@
+package passthrough
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/uber-go/tally/v4"
+	"github.com/zeebo/errs"
+
+	"arbutusfront.dev/common/protocol/capsule"
+	"arbutusfront.dev/common/protocol/frame"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("passthrough")
+
+var errNoProbe = Error.New("there is no way to probe the backend server")
+
+// answerBuckets are the bounds of the histogram of times to an answer.
+var answerBuckets = tally.DurationBuckets{
+	5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond, 50 * time.Millisecond,
+	100 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second,
+}
+
+func newMetrics(s tally.Scope) metrics {
+	var mu sync.Mutex
+	dropped := make(map[string]tally.Counter)
+	return metrics{
+		admitted:   s.Counter("flows_admitted"),
+		passedOn:   s.Counter("packets_passed_on"),
+		refused:    s.Counter("flows_refused"),
+		delivered:  s.Counter("packets_delivered"),
+		returned:   s.Counter("packets_returned"),
+		tried:      s.Counter("unknown_flows_tried"),
+		reset:      s.Counter("flows_reset"),
+		reoffered:  s.Counter("flows_reoffered"),
+		sendFailed: s.Counter("sends_failed"),
+		answer:     s.Histogram("answer_seconds", answerBuckets),
+		dropped: func(reason string) tally.Counter {
+			mu.Lock()
+			defer mu.Unlock()
+			c, ok := dropped[reason]
+			if !ok {
+				c = s.Tagged(map[string]string{"reason": reason}).Counter("packets_dropped")
+				dropped[reason] = c
+			}
+			return c
+		},
+	}
+}
+
+func (e *Engine) logReset(p frame.Frame, reason string) {
+	_ = level.Info(e.log).Log(
+		"event", "flow_reset", "reason", reason, "caller", p.Key.Caller, "service", p.Key.Service,
+	)
+}
+
+func (e *Engine) logPassedOn(p frame.Frame, h capsule.Header, reason string) {
+	_ = level.Info(e.log).Log(
+		"event", "flow_passed_on", "reason", reason, "caller", p.Key.Caller, "service", p.Key.Service,
+		"visited", len(h.Visited), "sender_revision", h.Revision,
+	)
+}
+
+func (e *Engine) logUnclaimed(p frame.Frame, h capsule.Header, visited int) {
+	_ = level.Info(e.log).Log(
+		"event", "flow_unclaimed", "caller", p.Key.Caller, "service", p.Key.Service, "visited", visited,
+		"uncertain", h.Marks.Has(capsule.MarkUncertain),
+	)
+}
+
+func (e *Engine) logSendFailure(to netip.AddrPort, err error) {
+	_ = level.Debug(e.log).Log("event", "send_failed", "to", to, "err", err)
+}
--- /dev/null
+++ b/arbutus-agent/passthrough/serve/wire.go
@@ -0,0 +1,34 @@
+//go:build wireinject
+
+package serve
+
+import (
+	"github.com/go-kit/log"
+	"github.com/google/wire"
+
+	"arbutusfront.dev/arbutus-agent/state"
+	"arbutusfront.dev/common/protocol/settings"
+	"arbutusfront.dev/common/transport/network"
+)
+
+// build wires an agent that passes flows through.
+func build(s *settings.Agent, n network.Network, l log.Logger, m Mode) (*Server, func(), error) {
+	wire.Build(
+		provideSender,
+		provideObserver,
+		provideKey,
+		provideSelf,
+		provideBackend,
+		provideAnnouncer,
+		provideClient,
+		provideBalancers,
+		providePeers,
+		provideBackendSocket,
+		provideEngine,
+		provideLink,
+		provideListener,
+		state.NewNode,
+		wire.Struct(new(Server), "*"),
+	)
+	return nil, nil, nil
+}
--- a/arbutus-agent/serve/providers.go
+++ b/arbutus-agent/serve/providers.go
@@ -124,13 +124,13 @@
 	n *state.Node, a *heartbeat.Announcer, b *backend.Server, p *agent.Peers, s *settings.Agent,
 	back *datagram.Socket, out *sender, o *observe.Observer,
 ) *flow.Engine {
-	notices := &notices{node: n, announcer: a, out: out, last: make(map[netip.AddrPort]time.Time)}
+	notices := balancer.NewNotices(n, a, out.send)
 	e := flow.New(
 		n, b,
 		flow.WithIdentity(a.Self, a.Trusted),
 		flow.WithForward(out.forward),
 		flow.WithReply(func(packet []byte) { _ = back.Write(packet, s.FabricReturn) }),
-		flow.WithNotify(notices.send),
+		flow.WithNotify(notices.Send),
 		flow.WithDirectoryUpdates(p.Opened, p.Closed),
 		flow.WithLoads(p.LoadOf),
 		flow.WithScope(o.Scope),
--- a/arbutus-agent/state/node.go
+++ b/arbutus-agent/state/node.go
@@ -169,6 +169,17 @@
 	return ok && v.isGone(r, n.now())
 }
 
+// MemberOf returns the record of an instance of the service's agents, be it alive
+// or not.
+func (n *Node) MemberOf(instance uint64) (member.Member, bool) {
+	for _, m := range n.Table.Snapshot().Members {
+		if m.Instance == instance {
+			return m, true
+		}
+	}
+	return member.Member{}, false
+}
+
 // Forget drops the agents that ended long ago.
 func (n *Node) Forget() { n.Table.Forget() }
 
@@ -178,7 +189,9 @@
 
 // rebuild makes the view anew. The caller holds the mutex.
 func (n *Node) rebuild() {
-	policy := placement.Policy{DomainIsOut: n.config.DomainIsOut, IsDrained: n.config.IsDrained}
+	policy := placement.Policy{
+		DomainIsOut: n.config.DomainIsOut, IsDrained: n.config.IsDrained, KeepsFlows: n.config.KeepsFlows(),
+	}
 	members := n.members()
 	v := &View{
 		Known:     n.known,
--- a/arbutus-agent/state/regions.go
+++ b/arbutus-agent/state/regions.go
@@ -115,7 +115,7 @@
 	for _, m := range members {
 		records[m.Instance] = record{
 			region:    n.config.RegionOf(m.Domain),
-			domainOut: n.known && n.config.DomainIsOut(m.Domain),
+			domainOut: n.known && n.config.DomainIsOut(m.Domain) && !n.config.KeepsFlows(),
 			phase:     m.Phase,
 			endedAt:   n.Table.EndedAt(m.ID()),
 		}
--- a/arbutus-balancer/fabric/forwarder.go
+++ b/arbutus-balancer/fabric/forwarder.go
@@ -1,16 +1,19 @@
-// Package fabric takes callers' packets from the fabric and sends each to the
-// agent that ranks first for its flow.
+// Package fabric takes callers' packets from the fabric and sends each to an agent
+// of its service.
 //
 // # Usage
 //
-//	f := fabric.New(socket, node, instance, writeBatch, scope)
+//	f := fabric.New(socket, node, self, writeBatch, onControl, scope)
 //	done := f.Run(ctx)
 //
 // An agent that knows no balancer sends control messages the same way, to an
 // address that is no service's.
 //
-// It keeps nothing per flow. A packet that opens a flow goes to the first agent
-// that takes new flows, any other to the first of all.
+// Without further options it keeps nothing per flow: a packet that opens a flow
+// goes to the first agent that takes new flows, any other to the first of all.
+// WithPlacement lets it choose among agents by their load, and remember where
+// flows are, which spares packets the walk along the agents; a balancer that does
+// not remember finds the holder by that walk.
 package fabric
 
 import (
@@ -21,10 +24,14 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/uber-go/tally/v4"
 
 	"arbutusfront.dev/arbutus-balancer/state"
+	"arbutusfront.dev/common/coordination/member"
 	"arbutusfront.dev/common/protocol/capsule"
+	"arbutusfront.dev/common/protocol/frame"
 	"arbutusfront.dev/common/protocol/ipv4"
 	"arbutusfront.dev/common/state/placement"
 	"arbutusfront.dev/common/transport/datagram"
@@ -33,9 +40,10 @@
 
 // Why a packet was dropped, besides the reasons of package ipv4.
 const (
-	dropService ipv4.Reason = "unknown_service"
-	dropNoAgent ipv4.Reason = "no_agent"
-	dropCutOff  ipv4.Reason = "cut_off"
+	dropService   ipv4.Reason = "unknown_service"
+	dropNoAgent   ipv4.Reason = "no_agent"
+	dropCutOff    ipv4.Reason = "cut_off"
+	dropUnclaimed ipv4.Reason = "unclaimed"
 )
 
 // contactCheck is how often the forwarder looks whether it may forward.
@@ -46,39 +54,82 @@
 	Forwarder struct {
 		socket *datagram.Socket
 		node   *state.Node
+		self   member.Member
+		codec  frame.Codec
 		// writeBatch sends capsules to agents.
 		writeBatch func(batch []datagram.Message) (int, error)
-		instance   uint64
 		// onControl takes in an agent's control message.
 		onControl func(from netip.AddrPort, b []byte)
+		// placement is nil if flows are not remembered.
+		placement *placements
+		// addressOf returns where packets to a caller are sent; nil if the balancer
+		// sends them none.
+		addressOf func(caller netip.AddrPort) netip.AddrPort
+		log       log.Logger
 		scope     tally.Scope
 		forwarded tally.Counter
+		refused   tally.Counter
 		drops     map[ipv4.Reason]tally.Counter
-		mayRun    atomic.Bool
-		lastRead  atomic.Int64
+		// forwardsAlone tells that contact with other failure domains is not
+		// needed.
+		forwardsAlone bool
+		mayRun        atomic.Bool
+		lastRead      atomic.Int64
 	}
+
+	// Option changes how a Forwarder is built.
+	Option func(*Forwarder)
 )
 
-// New returns a forwarder from the socket. Capsules leave through writeBatch;
-// instance is the balancer's own; agents' control messages go to onControl.
+// WithCodec sets the format of callers' packets. The default is IPv4 TCP.
+func WithCodec(c frame.Codec) Option { return func(f *Forwarder) { f.codec = c } }
+
+// WithCallers sets where packets to a caller are sent, which lets the balancer
+// itself refuse flows that no route takes.
+func WithCallers(addressOf func(caller netip.AddrPort) netip.AddrPort) Option {
+	return func(f *Forwarder) { f.addressOf = addressOf }
+}
+
+// WithoutContactBound has the balancer forward although it hears nobody of another
+// failure domain. It is for deployments whose agents refuse by themselves what
+// their failure domain must not get.
+func WithoutContactBound() Option { return func(f *Forwarder) { f.forwardsAlone = true } }
+
+// WithPlacement has the balancer choose where new flows go by the load of the
+// agents, and remember where flows are.
+func WithPlacement() Option { return func(f *Forwarder) { f.placement = newPlacements(f.self.Domain) } }
+
+// WithLogger sets where events are logged.
+func WithLogger(l log.Logger) Option { return func(f *Forwarder) { f.log = l } }
+
+// New returns a forwarder from the socket for the balancer self. Capsules leave
+// through writeBatch; agents' control messages go to onControl.
 func New(
 	socket *datagram.Socket,
 	node *state.Node,
-	instance uint64,
+	self member.Member,
 	writeBatch func(batch []datagram.Message) (int, error),
 	onControl func(from netip.AddrPort, b []byte),
 	scope tally.Scope,
+	opts ...Option,
 ) *Forwarder {
-	return &Forwarder{
+	f := &Forwarder{
 		socket:     socket,
 		node:       node,
+		self:       self,
+		codec:      frame.IPv4(),
 		writeBatch: writeBatch,
-		instance:   instance,
 		onControl:  onControl,
+		log:        log.NewNopLogger(),
 		scope:      scope,
 		forwarded:  scope.Counter("packets_forwarded"),
+		refused:    scope.Counter("flows_refused"),
 		drops:      make(map[ipv4.Reason]tally.Counter),
 	}
+	for _, opt := range opts {
+		opt(f)
+	}
+	return f
 }
 
 // Run forwards until ctx ends, and reports its end on the channel.
@@ -105,7 +156,7 @@
 
 func (f *Forwarder) watchContact(ctx context.Context) {
 	for {
-		f.mayRun.Store(f.node.InContact(time.Now()))
+		f.mayRun.Store(f.forwardsAlone || f.node.InContact(time.Now()))
 		if !wait.For(ctx, contactCheck) {
 			return
 		}
@@ -146,34 +197,64 @@
 
 // encapsulate appends the capsule that carries the frame to out, and returns
 // where to send it. Errors are of type ipv4.Reason.
-func (f *Forwarder) encapsulate(out, frame []byte) ([]byte, netip.AddrPort, error) {
+func (f *Forwarder) encapsulate(out, b []byte) ([]byte, netip.AddrPort, error) {
 	if !f.mayRun.Load() {
 		return nil, netip.AddrPort{}, dropCutOff
 	}
-	p, err := ipv4.Parse(frame)
+	p, err := f.codec.Parse(b)
 	if err != nil {
 		return nil, netip.AddrPort{}, err
 	}
-	key := p.Key()
 	routes := f.node.Routes()
-	route, ok := routes.Lookup(key.Service)
+	route, ok := routes.Lookup(p.Key.Service)
 	if !ok {
+		f.refuse(routes, p)
 		return nil, netip.AddrPort{}, dropService
 	}
-	agent, ok := choose(route.Agents, p, placement.FlowHash(key))
+	hash := placement.FlowHash(p.Key)
+	to, ok := f.find(routes, route, p, hash)
 	if !ok {
 		return nil, netip.AddrPort{}, dropNoAgent
 	}
 	h := capsule.Header{
 		Revision: routes.Revision,
-		Sender:   f.instance,
-		Target:   agent.Instance,
-		Service:  route.Key,
+		Sender:   f.self.Instance,
+		Target:   to.agent.Instance,
+		Service:  to.target.Key,
+		Marks:    to.marks,
 	}
-	return capsule.AppendPacket(out, h, p.Bytes()), agent.Packet, nil
+	if f.placement != nil {
+		h.Origin = f.self.Packet
+	}
+	return capsule.AppendPacket(out, h, p.Bytes), to.agent.Packet, nil
+}
+
+// destination is the agent that a packet goes to.
+type destination struct {
+	target *state.Target
+	agent  *placement.Candidate
+	marks  capsule.Marks
 }
 
-func choose(agents *placement.Service, p ipv4.Packet, hash uint64) (*placement.Candidate, bool) {
+// find returns where the packet goes.
+func (f *Forwarder) find(routes *state.Routes, route *state.Route, p frame.Frame, hash uint64) (destination, bool) {
+	if f.placement != nil {
+		if p.IsSYN() {
+			return f.placement.place(route, p, hash)
+		}
+		if d, ok := f.placement.locate(routes, route, p, hash); ok {
+			return d, true
+		}
+	}
+	target, ok := route.Pick(hash)
+	if !ok {
+		return destination{}, false
+	}
+	agent, ok := choose(target.Agents, p, hash)
+	return destination{target: target, agent: agent, marks: capsule.MarkAsk}, ok
+}
+
+func choose(agents *placement.Service, p frame.Frame, hash uint64) (*placement.Candidate, bool) {
 	if p.IsSYN() {
 		if c, ok := agents.FirstAdmitting(hash, nil); ok {
 			return c, true
@@ -182,6 +263,33 @@
 	return agents.First(hash, nil)
 }
 
+// refuse answers a packet to an address that has no route. Without a configuration
+// nothing is known, and nothing is answered.
+func (f *Forwarder) refuse(routes *state.Routes, p frame.Frame) {
+	if routes.Revision == 0 {
+		return
+	}
+	if f.reset(p) {
+		f.refused.Inc(1)
+	}
+}
+
+// reset tells the caller that its flow has ended, and reports whether it did.
+func (f *Forwarder) reset(p frame.Frame) bool {
+	if f.addressOf == nil {
+		return false
+	}
+	b := f.codec.Reset(p)
+	if b == nil {
+		return false
+	}
+	if err := f.socket.Write(b, f.addressOf(p.Key.Caller)); err != nil {
+		_ = level.Debug(f.log).Log("event", "send_failed", "caller", p.Key.Caller, "err", err)
+		return false
+	}
+	return true
+}
+
 // drop counts a packet that is not forwarded, unless it carries an agent's
 // control message. Only the reading goroutine calls it.
 func (f *Forwarder) drop(reason ipv4.Reason, frame []byte) {
--- /dev/null
+++ b/arbutus-balancer/fabric/placement.go
@@ -0,0 +1,312 @@
+package fabric
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"arbutusfront.dev/arbutus-balancer/state"
+	"arbutusfront.dev/common/protocol/capsule"
+	"arbutusfront.dev/common/protocol/frame"
+	"arbutusfront.dev/common/protocol/ipv4"
+	"arbutusfront.dev/common/state/load"
+	"arbutusfront.dev/common/state/orphan"
+	"arbutusfront.dev/common/state/placement"
+)
+
+const (
+	// flowLifetime is how long a flow without packets is remembered. A flow that
+	// is still there afterwards is found by the walk along the agents.
+	flowLifetime = 30 * time.Second
+	// sweepInterval is how often flows that are no longer remembered are removed.
+	sweepInterval = 5 * time.Second
+	// maxFlows bounds the memory: about 200 bytes a flow.
+	maxFlows = 1 << 18
+	// answerBound is how long an agent may take to answer a SYN before the
+	// caller's copy of it goes to another one. Between failure domains a packet
+	// takes about 5 ms one way, and callers send copies after 200 ms.
+	answerBound = 150 * time.Millisecond
+	// suspicion is how long an agent that has not answered a SYN gets no new
+	// flows, unless it answers another one.
+	suspicion = time.Second
+	// loadLifetime is how long an agent's word on its load is taken.
+	loadLifetime = 2 * time.Second
+	// farMargin is by how many requests an agent of another failure domain must be
+	// less busy to get a flow.
+	farMargin = 2
+	// otherServices is how many services besides a route's own are asked for a
+	// flow that was opened before the route changed.
+	otherServices = 4
+)
+
+type (
+	// placements remember where flows are, and how busy agents are.
+	placements struct {
+		domain  string
+		now     func() time.Time
+		orphans *orphan.Set
+
+		mu     sync.Mutex
+		flows  map[ipv4.FlowKey]*placed
+		agents map[string]*agent
+		swept  time.Time
+	}
+
+	// placed is where a flow is, or where its SYN was sent.
+	placed struct {
+		agent   string
+		service capsule.ServiceKey
+		// instance is the agent's when it was last heard to hold the flow.
+		instance uint64
+		sequence uint32
+		// confirmed tells that the agent has said that it holds the flow.
+		confirmed bool
+		sentAt    time.Time
+		usedAt    time.Time
+		// tried are agents that did not answer the SYN.
+		tried []string
+	}
+
+	// agent is what this balancer knows of one agent's load.
+	agent struct {
+		told  load.Load
+		slots int
+		at    time.Time
+		// placed are the flows that were sent there since it told its load.
+		placed       int
+		suspectUntil time.Time
+	}
+)
+
+func newPlacements(domain string) *placements {
+	return &placements{
+		domain:  domain,
+		now:     time.Now,
+		orphans: orphan.New(),
+		flows:   make(map[ipv4.FlowKey]*placed),
+		agents:  make(map[string]*agent),
+	}
+}
+
+// place returns where a SYN goes. A copy of one follows the first, unless that was
+// not answered in time.
+func (p *placements) place(route *state.Route, f frame.Frame, hash uint64) (destination, bool) {
+	target, ok := route.Pick(hash)
+	if !ok {
+		return destination{}, false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	p.sweep(now)
+	entry := p.flows[f.Key]
+	if entry == nil || entry.sequence != f.Sequence || entry.service != target.Key {
+		entry = &placed{service: target.Key, sequence: f.Sequence}
+		if len(p.flows) < maxFlows {
+			p.flows[f.Key] = entry
+		}
+	} else if c, same := p.repeat(entry, target, now); same {
+		return destination{target: target, agent: c, marks: capsule.MarkAsk}, true
+	}
+	c, ok := p.choose(target, hash, entry.tried, now)
+	if !ok {
+		delete(p.flows, f.Key)
+		return destination{}, false
+	}
+	entry.agent, entry.instance, entry.sentAt, entry.usedAt = c.Name, c.Instance, now, now
+	p.agentOf(c.Name).placed++
+	return destination{target: target, agent: c, marks: capsule.MarkAsk}, true
+}
+
+// repeat returns the agent that got the SYN before, unless another is to be tried.
+func (p *placements) repeat(entry *placed, target *state.Target, now time.Time) (*placement.Candidate, bool) {
+	c, alive := target.Agents.ByName(entry.agent)
+	if alive && (entry.confirmed || now.Sub(entry.sentAt) < answerBound) {
+		entry.usedAt = now
+		return c, true
+	}
+	if !entry.confirmed {
+		p.agentOf(entry.agent).suspectUntil = now.Add(suspicion)
+	}
+	entry.confirmed = false
+	entry.tried = append(entry.tried, entry.agent)
+	return nil, false
+}
+
+// choose returns the agent that a new flow goes to: of the two that rank first in
+// this failure domain the one with less load or, if that is busy, one elsewhere that
+// is clearly less so. Those that did not answer come last.
+func (p *placements) choose(
+	target *state.Target, hash uint64, tried []string, now time.Time,
+) (*placement.Candidate, bool) {
+	var near, far, last pair
+	candidates := target.Agents.Candidates()
+	for i := range candidates {
+		c := &candidates[i]
+		switch {
+		case !c.Admitting || slices.Contains(tried, c.Name):
+		case p.isSuspect(c.Name, now):
+			last.add(c, hash)
+		case c.Domain == p.domain:
+			near.add(c, hash)
+		default:
+			far.add(c, hash)
+		}
+	}
+	own, other := p.lessLoaded(near, target.Slots, now), p.lessLoaded(far, target.Slots, now)
+	switch {
+	case own == nil && other == nil:
+		return last.first, last.first != nil
+	case own == nil:
+		return other, true
+	case other == nil:
+		return own, true
+	}
+	mine, theirs := p.loadOf(own.Name, now), p.loadOf(other.Name, now)
+	if mine.Requests >= p.slotsOf(own.Name, target.Slots) && theirs.Requests+farMargin <= mine.Requests {
+		return other, true
+	}
+	return own, true
+}
+
+// pair are the two candidates that rank first.
+type pair struct{ first, second *placement.Candidate }
+
+func (p *pair) add(c *placement.Candidate, hash uint64) {
+	switch {
+	case p.first == nil || c.Score(hash) > p.first.Score(hash):
+		p.first, p.second = c, p.first
+	case p.second == nil || c.Score(hash) > p.second.Score(hash):
+		p.second = c
+	}
+}
+
+func (p *placements) lessLoaded(of pair, slots int, now time.Time) *placement.Candidate {
+	if of.second == nil {
+		return of.first
+	}
+	if p.loadOf(of.first.Name, now).Exceeds(p.loadOf(of.second.Name, now), p.slotsOf(of.first.Name, slots)) {
+		return of.second
+	}
+	return of.first
+}
+
+// loadOf returns the agent's load as it was told, with the flows that were sent
+// there since.
+func (p *placements) loadOf(name string, now time.Time) load.Load {
+	a := p.agents[name]
+	if a == nil {
+		return load.Load{}
+	}
+	l := load.Load{Flows: a.told.Flows + a.placed}
+	if now.Sub(a.at) < loadLifetime {
+		l.Requests = a.told.Requests + a.placed
+	}
+	return l
+}
+
+// slotsOf returns the requests that the agent's backend server runs at once, as it
+// was told, or else as the service states.
+func (p *placements) slotsOf(name string, stated int) int {
+	if a := p.agents[name]; a != nil && a.slots > 0 {
+		return a.slots
+	}
+	return stated
+}
+
+func (p *placements) isSuspect(name string, now time.Time) bool {
+	a := p.agents[name]
+	return a != nil && now.Before(a.suspectUntil)
+}
+
+func (p *placements) agentOf(name string) *agent {
+	a := p.agents[name]
+	if a == nil {
+		a = new(agent)
+		p.agents[name] = a
+	}
+	return a
+}
+
+// locate returns the agent that holds the packet's flow, as far as remembered.
+func (p *placements) locate(
+	routes *state.Routes, route *state.Route, f frame.Frame, hash uint64,
+) (destination, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	entry := p.flows[f.Key]
+	if entry == nil {
+		return destination{}, false
+	}
+	for _, t := range routes.Targets(route, hash, otherServices) {
+		if t.Key != entry.service {
+			continue
+		}
+		c, alive := t.Agents.ByName(entry.agent)
+		if !alive {
+			break
+		}
+		entry.usedAt = p.now()
+		d := destination{target: t, agent: c}
+		if c.Instance != entry.instance || !entry.confirmed {
+			d.marks = capsule.MarkAsk | capsule.MarkNamed
+		}
+		return d, true
+	}
+	return destination{}, false
+}
+
+// hold notes an agent's word that it holds a flow, and its load.
+func (p *placements) hold(routes *state.Routes, h capsule.Held) {
+	route, ok := routes.Lookup(h.Key.Service)
+	if !ok {
+		return
+	}
+	for _, t := range routes.Targets(route, placement.FlowHash(h.Key), otherServices) {
+		if c, ok := t.Agents.ByInstance(h.Instance); ok {
+			p.note(t, c, h)
+			return
+		}
+	}
+}
+
+func (p *placements) note(t *state.Target, c *placement.Candidate, h capsule.Held) {
+	p.orphans.Found(h.Key)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	a := p.agentOf(c.Name)
+	a.told = load.Load{Flows: int(h.Flows), Requests: int(h.Requests)}
+	a.slots, a.at, a.placed, a.suspectUntil = int(h.Slots), now, 0, time.Time{}
+	entry := p.flows[h.Key]
+	if entry == nil {
+		if len(p.flows) >= maxFlows {
+			return
+		}
+		entry = new(placed)
+		p.flows[h.Key] = entry
+	}
+	entry.agent, entry.service, entry.instance = c.Name, t.Key, c.Instance
+	entry.confirmed, entry.usedAt = true, now
+}
+
+// forget removes what is remembered of a flow.
+func (p *placements) forget(key ipv4.FlowKey) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.flows, key)
+}
+
+// sweep removes flows that had no packet for long. The caller holds the mutex.
+func (p *placements) sweep(now time.Time) {
+	if now.Sub(p.swept) < sweepInterval {
+		return
+	}
+	p.swept = now
+	p.orphans.Expire(now)
+	for key, entry := range p.flows {
+		if now.Sub(entry.usedAt) > flowLifetime {
+			delete(p.flows, key)
+		}
+	}
+}
--- /dev/null
+++ b/arbutus-balancer/fabric/unclaimed.go
@@ -0,0 +1,104 @@
+package fabric
+
+import (
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"arbutusfront.dev/arbutus-balancer/state"
+	"arbutusfront.dev/common/protocol/capsule"
+	"arbutusfront.dev/common/protocol/frame"
+	"arbutusfront.dev/common/protocol/ipv4"
+	"arbutusfront.dev/common/state/orphan"
+	"arbutusfront.dev/common/state/placement"
+	"arbutusfront.dev/common/transport/datagram"
+)
+
+// certainPatience is how long a flow is looked for that no agent of any service
+// holds, although all know of all flows at their backend servers. It spans two of
+// the caller's packets, so that an agent which has just become known is asked too.
+const certainPatience = 150 * time.Millisecond
+
+// HandleHeld takes in an agent's word that it holds a flow.
+func (f *Forwarder) HandleHeld(h capsule.Held) {
+	if f.placement != nil {
+		f.placement.hold(f.node.Routes(), h)
+	}
+}
+
+// HandleUnclaimed takes in a packet that no agent of a service claimed. It is sent
+// to the next service that the flow may be at; its caller is told that the flow has
+// ended once nobody is left to ask.
+func (f *Forwarder) HandleUnclaimed(h capsule.Header, packet []byte) {
+	p, err := f.codec.Parse(packet)
+	if err != nil || f.placement == nil {
+		return
+	}
+	f.placement.forget(p.Key)
+	routes := f.node.Routes()
+	route, ok := routes.Lookup(p.Key.Service)
+	if !ok {
+		f.refuse(routes, p)
+		return
+	}
+	hash := placement.FlowHash(p.Key)
+	if t, ok := nextTarget(routes.Targets(route, hash, otherServices), h.Service); ok {
+		f.ask(routes, t, h, p, hash)
+		return
+	}
+	f.endUnclaimed(h, p)
+}
+
+// nextTarget returns the first target with agents after the one with the key.
+func nextTarget(targets []*state.Target, after capsule.ServiceKey) (*state.Target, bool) {
+	passed := false
+	for _, t := range targets {
+		if passed && len(t.Agents.Candidates()) > 0 {
+			return t, true
+		}
+		passed = passed || t.Key == after
+	}
+	return nil, false
+}
+
+func (f *Forwarder) ask(routes *state.Routes, t *state.Target, h capsule.Header, p frame.Frame, hash uint64) {
+	agent, ok := t.Agents.First(hash, nil)
+	if !ok {
+		return
+	}
+	next := capsule.Header{
+		Revision: routes.Revision,
+		Sender:   f.self.Instance,
+		Target:   agent.Instance,
+		Service:  t.Key,
+		Origin:   f.self.Packet,
+		Marks:    capsule.MarkAsk | h.Marks&capsule.MarkUncertain,
+	}
+	b := capsule.AppendPacket(make([]byte, 0, datagram.MaxBytes), next, p.Bytes)
+	f.send(b, agent)
+}
+
+func (f *Forwarder) send(b []byte, to *placement.Candidate) {
+	batch := []datagram.Message{{Buffer: b, N: len(b), Peer: to.Packet}}
+	sent, err := f.writeBatch(batch)
+	if err != nil {
+		_ = level.Debug(f.log).Log("event", "send_failed", "agent", to.Name, "err", err)
+	}
+	f.forwarded.Inc(int64(sent))
+}
+
+// endUnclaimed tells the caller that its flow has ended, unless an agent that holds
+// it may only be unknown as yet.
+func (f *Forwarder) endUnclaimed(h capsule.Header, p frame.Frame) {
+	patience := certainPatience
+	if h.Marks.Has(capsule.MarkUncertain) {
+		patience = orphan.Patience
+	}
+	if p.Flags.Has(ipv4.FlagRST) || !f.placement.orphans.MayReset(p.Key, f.placement.now(), patience) || !f.reset(p) {
+		return
+	}
+	_ = level.Info(f.log).Log(
+		"event", "flow_reset", "reason", "no_holder", "caller", p.Key.Caller, "service", p.Key.Service,
+		"certain", !h.Marks.Has(capsule.MarkUncertain),
+	)
+}
--- a/arbutus-balancer/serve/dump.go
+++ b/arbutus-balancer/serve/dump.go
@@ -32,8 +32,8 @@
 	}
 )
 
-func dumpOf(n *state.Node, a *heartbeat.Announcer) dump {
-	reason := notReady(n, a)
+func dumpOf(n *state.Node, a *heartbeat.Announcer, m Mode) dump {
+	reason := notReady(n, a, m)
 	d := dump{Self: a.Self(), Ready: reason == "", Reason: reason, Routes: n.Routes().Dump()}
 	if r := n.Config.Current(); r != nil {
 		d.Revision = r.Number()
--- /dev/null
+++ b/arbutus-balancer/serve/mode.go
@@ -0,0 +1,69 @@
+package serve
+
+import (
+	"net/netip"
+	"time"
+
+	"arbutusfront.dev/arbutus-balancer/fabric"
+	"arbutusfront.dev/arbutus-balancer/state"
+	"arbutusfront.dev/arbutus-balancer/store"
+	platform "arbutusfront.dev/common/coordination/store"
+)
+
+// Mode is how a balancer deals with its surroundings, where that differs from one
+// deployment to another. The zero Mode is that of callers who speak IPv4 TCP.
+type Mode struct {
+	// Store replaces the client of the store at the URL of the settings.
+	Store *platform.Client
+	// Seeds replaces the seeds of the settings, which may be stale: it is asked
+	// whenever no monitor answers.
+	Seeds func() []netip.AddrPort
+	// Fabric are further options of the packet path.
+	Fabric []fabric.Option
+	// Watch are further options of the watch on the configuration.
+	Watch []store.Option
+	// Registered has the balancer's address kept in the store, where others find
+	// it that know no seed.
+	Registered bool
+	// ReadOnlyConfig tells that configurations are put into the store by others,
+	// who also remove what is no longer needed.
+	ReadOnlyConfig bool
+	// ForwardsAlone has the balancer forward although it hears nobody of another
+	// failure domain.
+	ForwardsAlone bool
+	// LeaveBound ends a leaving balancer although the fabric still sends; 0
+	// stands for 10 s.
+	LeaveBound time.Duration
+}
+
+// seeds returns the packet addresses of balancers to ask first, besides the own.
+func (m Mode) seeds(stated []netip.AddrPort, self netip.AddrPort) func() []netip.AddrPort {
+	ask := m.Seeds
+	if ask == nil {
+		ask = func() []netip.AddrPort { return stated }
+	}
+	return func() []netip.AddrPort {
+		seeds := ask()
+		others := make([]netip.AddrPort, 0, len(seeds))
+		for _, s := range seeds {
+			if s != self {
+				others = append(others, s)
+			}
+		}
+		return others
+	}
+}
+
+func (m Mode) leaveBound() time.Duration {
+	if m.LeaveBound > 0 {
+		return m.LeaveBound
+	}
+	return fabricBound
+}
+
+// lost returns the packet addresses of balancers that are held for dead, and of
+// seeds that are no live balancer's.
+func (m Mode) lost(stated []netip.AddrPort, self netip.AddrPort, n *state.Node) func() []netip.AddrPort {
+	seeds := m.seeds(stated, self)
+	return func() []netip.AddrPort { return lostOf(seeds(), n)() }
+}
--- a/arbutus-balancer/serve/providers.go
+++ b/arbutus-balancer/serve/providers.go
@@ -18,6 +18,7 @@
 	"arbutusfront.dev/common/coordination/member"
 	"arbutusfront.dev/common/coordination/peer"
 	platform "arbutusfront.dev/common/coordination/store"
+	"arbutusfront.dev/common/protocol/capsule"
 	"arbutusfront.dev/common/protocol/control"
 	controlv1 "arbutusfront.dev/common/protocol/gen/arbutus/control/v1"
 	"arbutusfront.dev/common/protocol/link"
@@ -38,11 +39,17 @@
 	// after those who send.
 	sender struct {
 		link *link.Link
+		// forwarder takes what agents answer to packets.
+		forwarder *fabric.Forwarder
 	}
 )
 
 func (s *sender) send(to netip.AddrPort, m *controlv1.Datagram) { s.link.SendControl(to, m) }
 
+func (s *sender) unclaimed(h capsule.Header, packet []byte) { s.forwarder.HandleUnclaimed(h, packet) }
+
+func (s *sender) held(h capsule.Held) { s.forwarder.HandleHeld(h) }
+
 func provideSender() *sender { return new(sender) }
 
 func provideKey(s *settings.Balancer) (control.Key, error) { return control.NewKey(s.Secret) }
@@ -65,12 +72,14 @@
 	return o, func() { _ = o.Close() }
 }
 
-func provideAnnouncer(self member.Member, s *settings.Balancer, n *state.Node, out *sender) *heartbeat.Announcer {
+func provideAnnouncer(
+	self member.Member, s *settings.Balancer, n *state.Node, out *sender, m Mode,
+) *heartbeat.Announcer {
 	return heartbeat.New(
 		self,
 		heartbeat.WithSend(out.send),
-		heartbeat.WithSeeds(seedsOf(s.Seeds, s.PacketAddress)),
-		heartbeat.WithLost(lostOf(s.Seeds, n)),
+		heartbeat.WithSeeds(m.seeds(s.Seeds, s.PacketAddress)),
+		heartbeat.WithLost(m.lost(s.Seeds, s.PacketAddress, n)),
 		heartbeat.WithReport(func() heartbeat.Report {
 			return heartbeat.Report{Revision: n.Config.Current().Number()}
 		}),
@@ -88,9 +97,13 @@
 	return heartbeat.Pace{Interval: limits.Heartbeat(), Lease: limits.DeadAfter()}
 }
 
-func provideClients(s *settings.Balancer, n network.Network) clients {
+func provideClients(s *settings.Balancer, n network.Network, m Mode) clients {
 	h := n.Client()
-	return clients{http: h, peer: peer.NewClient(h), store: platform.Connect(h, s.StoreURL)}
+	c := clients{http: h, peer: peer.NewClient(h), store: m.Store}
+	if c.store == nil {
+		c.store = platform.Connect(h, s.StoreURL)
+	}
+	return c
 }
 
 func providePeers(n *state.Node, a *heartbeat.Announcer, out *sender, c clients, l log.Logger) *balancer.Peers {
@@ -112,6 +125,7 @@
 	out.link = link.New(
 		socket, key,
 		link.WithControl(p.Handle),
+		link.WithAnswers(out.unclaimed, out.held),
 		link.WithDrop(observe.DropCounter(o.Scope)),
 		link.WithControlBytes(observe.ControlCounters(o.Scope)),
 	)
@@ -120,16 +134,26 @@
 
 func provideForwarder(
 	s *settings.Balancer, n network.Network, node *state.Node, self member.Member, l *link.Link, o *observe.Observer,
+	out *sender, m Mode, logger log.Logger,
 ) (*fabric.Forwarder, error) {
 	socket, err := n.ListenPacket(s.FabricAddress)
 	if err != nil {
 		return nil, err
 	}
-	return fabric.New(socket, node, self.Instance, l.WriteBatch, l.HandleControl, o.Scope), nil
+	opts := append([]fabric.Option{fabric.WithLogger(logger)}, m.Fabric...)
+	if m.ForwardsAlone {
+		opts = append(opts, fabric.WithoutContactBound())
+	}
+	out.forwarder = fabric.New(socket, node, self, l.WriteBatch, l.HandleControl, o.Scope, opts...)
+	return out.forwarder, nil
+}
+
+func provideWatcher(c clients, n *state.Node, self member.Member, l log.Logger, m Mode) *store.Watcher {
+	return store.New(c.store, n, self, l, m.Watch...)
 }
 
-func provideWatcher(c clients, n *state.Node, self member.Member, l log.Logger) *store.Watcher {
-	return store.New(c.store, n, self, l)
+func provideRegistrar(c clients, self member.Member, l log.Logger) *store.Registrar {
+	return store.NewRegistrar(c.store, self, l)
 }
 
 func provideCollector(c clients, n *state.Node, self member.Member, l log.Logger) *store.Collector {
--- a/arbutus-balancer/serve/serve.go
+++ b/arbutus-balancer/serve/serve.go
@@ -9,6 +9,8 @@
 import (
 	"context"
 
+	"github.com/go-kit/log"
+
 	"arbutusfront.dev/common/command"
 	"arbutusfront.dev/common/command/serve"
 	"arbutusfront.dev/common/protocol/settings"
@@ -28,6 +30,7 @@
 	Streams  command.Streams
 	Settings settings.Balancer
 	Network  func() network.Network
+	Mode     Mode
 }
 
 // New returns the command that runs a balancer.
@@ -43,10 +46,15 @@
 
 // Run runs a balancer until ctx ends.
 func Run(ctx context.Context, opts *Options) error {
-	s, cleanup, err := build(&opts.Settings, opts.Network(), serve.Logger(opts.Streams))
+	s, cleanup, err := Build(&opts.Settings, opts.Network(), serve.Logger(opts.Streams), opts.Mode)
 	if err != nil {
 		return err
 	}
 	defer cleanup()
 	return s.Run(ctx)
 }
+
+// Build returns a balancer that is ready to run, and what releases it.
+func Build(s *settings.Balancer, n network.Network, l log.Logger, m Mode) (*Server, func(), error) {
+	return build(s, n, l, m)
+}
--- a/arbutus-balancer/serve/server.go
+++ b/arbutus-balancer/serve/server.go
@@ -43,10 +43,12 @@
 	forwarder *fabric.Forwarder
 	watcher   *store.Watcher
 	collector *store.Collector
+	registrar *store.Registrar
 	operator  *operator.Server
 	observer  *observe.Observer
 	listener  net.Listener
 	clients   clients
+	mode      Mode
 	log       log.Logger
 }
 
@@ -56,16 +58,7 @@
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	s.peers.Learn(s.announcer.Self())
-	group := tasks.Gather(
-		s.link.Run(running),
-		s.node.Run(running),
-		s.peers.Run(running),
-		s.announcer.Run(running),
-		s.forwarder.Run(running),
-		s.watcher.Run(running),
-		s.collector.Run(running),
-		server.Run(running, s.listener, s.handler()),
-	)
+	group := tasks.Gather(s.tasks(running)...)
 	s.setPhase(member.Serving)
 	self := s.announcer.Self()
 	_ = level.Info(s.log).Log("event", "started", "name", self.Name, "domain", self.Domain, "instance", self.Instance)
@@ -81,10 +74,32 @@
 	return err
 }
 
+func (s *Server) tasks(ctx context.Context) []<-chan error {
+	running := []<-chan error{
+		s.link.Run(ctx),
+		s.node.Run(ctx),
+		s.peers.Run(ctx),
+		s.announcer.Run(ctx),
+		s.forwarder.Run(ctx),
+		s.watcher.Run(ctx),
+		server.Run(ctx, s.listener, s.handler()),
+	}
+	if !s.mode.ReadOnlyConfig {
+		running = append(running, s.collector.Run(ctx))
+	}
+	if s.mode.Registered {
+		running = append(running, s.registrar.Run(ctx))
+	}
+	return running
+}
+
+// NotReady returns why the fabric should not send, or nothing.
+func (s *Server) NotReady() string { return notReady(s.node, s.announcer, s.mode) }
+
 func (s *Server) leave() {
 	_ = level.Info(s.log).Log("event", "leaving")
 	s.setPhase(member.Leaving)
-	deadline := time.Now().Add(fabricBound)
+	deadline := time.Now().Add(s.mode.leaveBound())
 	for time.Now().Before(deadline) && s.forwarder.Idle(time.Now()) < fabricQuiet {
 		time.Sleep(drainCheck)
 	}
@@ -102,21 +117,21 @@
 func (s *Server) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/", s.observer.Handler(
-		func() any { return dumpOf(s.node, s.announcer) },
-		func() string { return notReady(s.node, s.announcer) },
+		func() any { return dumpOf(s.node, s.announcer, s.mode) },
+		s.NotReady,
 	))
 	mux.Handle(s.operator.Handler())
 	return mux
 }
 
 // notReady returns why the fabric should not send, or nothing.
-func notReady(n *state.Node, a *heartbeat.Announcer) string {
+func notReady(n *state.Node, a *heartbeat.Announcer, m Mode) string {
 	switch {
 	case a.Self().Phase != member.Serving:
 		return "balancer is " + a.Self().Phase.String()
 	case n.Config.Current() == nil:
 		return "no configuration: neither the store nor a peer has been reached"
-	case !n.InContact(time.Now()):
+	case !m.ForwardsAlone && !n.InContact(time.Now()):
 		return "cut off: no word from another failure domain"
 	default:
 		return ""
@@ -141,14 +156,3 @@
 		return slices.DeleteFunc(lost, func(a netip.AddrPort) bool { return slices.Contains(live, a) })
 	}
 }
-
-// seedsOf returns the addresses to gossip to while no monitor is known.
-func seedsOf(seeds []netip.AddrPort, self netip.AddrPort) func() []netip.AddrPort {
-	others := make([]netip.AddrPort, 0, len(seeds))
-	for _, s := range seeds {
-		if s != self {
-			others = append(others, s)
-		}
-	}
-	return func() []netip.AddrPort { return others }
-}
--- a/arbutus-balancer/serve/wire.go
+++ b/arbutus-balancer/serve/wire.go
@@ -12,7 +12,7 @@
 )
 
 // build wires a balancer.
-func build(s *settings.Balancer, n network.Network, l log.Logger) (*Server, func(), error) {
+func build(s *settings.Balancer, n network.Network, l log.Logger, m Mode) (*Server, func(), error) {
 	wire.Build(
 		provideKey,
 		provideSelf,
@@ -24,6 +24,7 @@
 		provideForwarder,
 		provideWatcher,
 		provideCollector,
+		provideRegistrar,
 		provideOperator,
 		provideListener,
 		provideSender,
--- a/arbutus-balancer/serve/wire_gen.go
+++ b/arbutus-balancer/serve/wire_gen.go
@@ -16,12 +16,12 @@
 // Injectors from wire.go:
 
 // build wires a balancer.
-func build(s *settings.Balancer, n network.Network, l log.Logger) (*Server, func(), error) {
+func build(s *settings.Balancer, n network.Network, l log.Logger, m Mode) (*Server, func(), error) {
 	member := provideSelf(s)
 	node := state.NewNode(member)
 	serveSender := provideSender()
-	announcer := provideAnnouncer(member, s, node, serveSender)
-	serveClients := provideClients(s, n)
+	announcer := provideAnnouncer(member, s, node, serveSender, m)
+	serveClients := provideClients(s, n, m)
 	peers := providePeers(node, announcer, serveSender, serveClients, l)
 	key, err := provideKey(s)
 	if err != nil {
@@ -33,13 +33,14 @@
 		cleanup()
 		return nil, nil, err
 	}
-	forwarder, err := provideForwarder(s, n, node, member, link, observer)
+	forwarder, err := provideForwarder(s, n, node, member, link, observer, serveSender, m, l)
 	if err != nil {
 		cleanup()
 		return nil, nil, err
 	}
-	watcher := provideWatcher(serveClients, node, member, l)
+	watcher := provideWatcher(serveClients, node, member, l, m)
 	collector := provideCollector(serveClients, node, member, l)
+	registrar := provideRegistrar(serveClients, member, l)
 	server := provideOperator(node, peers, key, serveClients, announcer)
 	listener, err := provideListener(s, n)
 	if err != nil {
@@ -54,10 +55,12 @@
 		forwarder: forwarder,
 		watcher:   watcher,
 		collector: collector,
+		registrar: registrar,
 		operator:  server,
 		observer:  observer,
 		listener:  listener,
 		clients:   serveClients,
+		mode:      m,
 		log:       l,
 	}
 	return serveServer, func() {
--- a/arbutus-balancer/state/routes.go
+++ b/arbutus-balancer/state/routes.go
@@ -11,6 +11,7 @@
 package state
 
 import (
+	"cmp"
 	"maps"
 	"net/netip"
 	"slices"
@@ -22,17 +23,29 @@
 )
 
 type (
-	// Route is where one service's packets go.
-	Route struct {
+	// Target is one service that a route's flows go to.
+	Target struct {
 		Service string
 		Key     capsule.ServiceKey
 		Agents  *placement.Service
+		// Slots are the requests that one of its backend servers runs at once.
+		Slots  int
+		weight int
+	}
+
+	// Route is where the packets to one address and port go.
+	Route struct {
+		Name string
+		// Targets are ordered by name. Those without a weight get no new flows.
+		Targets []Target
+		total   int
 	}
 
 	// Routes are the routes of one revision and one set of members.
 	Routes struct {
 		Revision   uint64
 		byEndpoint map[netip.AddrPort]*Route
+		targets    map[string]Target
 	}
 )
 
@@ -50,25 +63,89 @@
 		DomainIsOut: func(domain string) bool {
 			return r.Config.DomainIsOut(domain) || blocked[domain] > r.Number()
 		},
-		IsDrained: r.Config.IsDrained,
+		IsDrained:  r.Config.IsDrained,
+		KeepsFlows: r.Config.Deployment.KeepsFlows(),
 	}
+	routes.targets = make(map[string]Target, len(r.Config.Services))
 	for _, s := range r.Config.Services {
-		routes.byEndpoint[s.Endpoint()] = &Route{
+		routes.targets[s.Name] = Target{
 			Service: s.Name,
 			Key:     capsule.KeyOf(s.Name),
 			Agents:  placement.FromMembers(byService[s.Name], policy),
+			Slots:   s.BackendClass.Slots,
 		}
 	}
+	for _, route := range r.Config.AllRoutes() {
+		routes.byEndpoint[route.Endpoint()] = routes.build(route)
+	}
 	return routes
 }
 
-// Lookup returns the route of a service's address and port.
+func (r *Routes) build(route config.Route) *Route {
+	built := &Route{Name: route.Name, Targets: make([]Target, 0, len(route.Targets))}
+	for _, t := range route.Targets {
+		target, known := r.targets[t.Service]
+		if !known {
+			continue
+		}
+		target.weight = t.Weight
+		built.total += t.Weight
+		built.Targets = append(built.Targets, target)
+	}
+	slices.SortFunc(built.Targets, func(a, b Target) int { return cmp.Compare(a.Service, b.Service) })
+	return built
+}
+
+// Lookup returns the route of an address and port.
 func (r *Routes) Lookup(endpoint netip.AddrPort) (*Route, bool) {
 	route, ok := r.byEndpoint[endpoint]
 	return route, ok
 }
 
-// RouteDump is one route as it is shown on request.
+// Targets returns the services that a flow of the route may be at: first those of
+// the route, from the one that the flow's hash stands for, then up to others further
+// ones, since flows stay where they are when a route's targets change.
+func (r *Routes) Targets(route *Route, hash uint64, others int) []*Target {
+	targets := make([]*Target, 0, len(route.Targets)+others)
+	first, ok := route.Pick(hash)
+	if ok {
+		targets = append(targets, first)
+	}
+	for i := range route.Targets {
+		if &route.Targets[i] != first {
+			targets = append(targets, &route.Targets[i])
+		}
+	}
+	own := len(targets)
+	for _, name := range slices.Sorted(maps.Keys(r.targets)) {
+		if len(targets) == own+others {
+			break
+		}
+		if !slices.ContainsFunc(targets, func(t *Target) bool { return t.Service == name }) {
+			t := r.targets[name]
+			targets = append(targets, &t)
+		}
+	}
+	return targets
+}
+
+// Pick returns the target of the route that the flow's hash stands for.
+func (r *Route) Pick(hash uint64) (*Target, bool) {
+	if r.total == 0 {
+		return nil, false
+	}
+	// The ranking of agents uses the same hash: its upper half is independent
+	// enough of the order that results.
+	point := int(hash >> 32 % uint64(r.total))
+	for i := range r.Targets {
+		if point -= r.Targets[i].weight; point < 0 {
+			return &r.Targets[i], true
+		}
+	}
+	return nil, false
+}
+
+// RouteDump is one service of a route as it is shown on request.
 type RouteDump struct {
 	Service  string          `json:"service"`
 	Endpoint string          `json:"endpoint"`
@@ -87,12 +164,13 @@
 	endpoints := slices.SortedFunc(maps.Keys(r.byEndpoint), netip.AddrPort.Compare)
 	out := make([]RouteDump, 0, len(endpoints))
 	for _, e := range endpoints {
-		route := r.byEndpoint[e]
-		d := RouteDump{Service: route.Service, Endpoint: e.String()}
-		for _, c := range route.Agents.Candidates() {
-			d.Agents = append(d.Agents, CandidateDump{Name: c.Name, Instance: c.Instance, Admitting: c.Admitting})
+		for _, t := range r.byEndpoint[e].Targets {
+			d := RouteDump{Service: t.Service, Endpoint: e.String()}
+			for _, c := range t.Agents.Candidates() {
+				d.Agents = append(d.Agents, CandidateDump{Name: c.Name, Instance: c.Instance, Admitting: c.Admitting})
+			}
+			out = append(out, d)
 		}
-		out = append(out, d)
 	}
 	return out
 }
--- /dev/null
+++ b/arbutus-balancer/store/registrar.go
@@ -0,0 +1,64 @@
+package store
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"arbutusfront.dev/common/coordination/member"
+	"arbutusfront.dev/common/coordination/store"
+	"arbutusfront.dev/common/transport/wait"
+)
+
+const (
+	// registrationTTL is how long a balancer stays registered that does not renew
+	// its lease; it is renewed registrationRenewals times within that.
+	registrationTTL      = 15 * time.Second
+	registrationRenewals = 3
+	// registrationDelay lets a start of everything read configurations first.
+	registrationDelay = 500 * time.Millisecond
+)
+
+// Registrar keeps the balancer's packet address in the store under a lease.
+type Registrar struct {
+	client *store.Client
+	self   member.Member
+	log    log.Logger
+}
+
+// NewRegistrar returns a registrar of the balancer.
+func NewRegistrar(client *store.Client, self member.Member, logger log.Logger) *Registrar {
+	return &Registrar{client: client, self: self, log: logger}
+}
+
+// Run keeps the registration until ctx ends, and reports its end on the channel.
+func (r *Registrar) Run(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		r.run(ctx)
+		done <- nil
+	}()
+	return done
+}
+
+func (r *Registrar) run(ctx context.Context) {
+	lease := store.NewLease(r.client, store.RegistrationKey(r.self.Packet), r.self.Name, registrationTTL)
+	failures := 0
+	held := false
+	for pause := registrationDelay; wait.For(ctx, pause); {
+		now, err := lease.Renew(ctx)
+		if err != nil {
+			pause = retry.After(failures)
+			failures++
+			_ = level.Warn(r.log).Log("event", "registration_failed", "failures", failures, "retry_in", pause, "err", err)
+			continue
+		}
+		pause, failures = registrationTTL/registrationRenewals, 0
+		if now != held {
+			held = now
+			_ = level.Info(r.log).Log("event", "registration", "held", held)
+		}
+	}
+}
--- a/arbutus-balancer/store/watcher.go
+++ b/arbutus-balancer/store/watcher.go
@@ -38,6 +38,9 @@
 	// configuration; startSpread keeps a fleet that starts from asking at once.
 	startPause  = 300 * time.Millisecond
 	startSpread = 1200 * time.Millisecond
+	// attemptsAtOnce is how many times an unreachable store is tried at the first
+	// pause of the backoff by a balancer without a configuration.
+	attemptsAtOnce = 20
 	// chunkSpread, for each chunk that is missing, is the time over which a
 	// fleet's reads of the chunks are spread. Most have them from a peer before.
 	chunkSpread = 16 * time.Millisecond
@@ -46,17 +49,34 @@
 
 var retry = wait.Backoff{First: 100 * time.Millisecond, Limit: 5 * time.Second}
 
-// Watcher follows the head while its balancer is elected.
-type Watcher struct {
-	client *store.Client
-	node   *state.Node
-	self   member.Member
-	log    log.Logger
+type (
+	// Watcher follows the head while its balancer is elected.
+	Watcher struct {
+		client *store.Client
+		node   *state.Node
+		self   member.Member
+		log    log.Logger
+		pause  time.Duration
+		spread time.Duration
+	}
+
+	// Option changes how a Watcher is built.
+	Option func(*Watcher)
+)
+
+// WithStart sets how long the watcher waits before its first call: for the pause,
+// and up to the spread longer.
+func WithStart(pause, spread time.Duration) Option {
+	return func(w *Watcher) { w.pause, w.spread = pause, spread }
 }
 
 // New returns a watcher of the store for the balancer.
-func New(client *store.Client, node *state.Node, self member.Member, logger log.Logger) *Watcher {
-	return &Watcher{client: client, node: node, self: self, log: logger}
+func New(client *store.Client, node *state.Node, self member.Member, logger log.Logger, opts ...Option) *Watcher {
+	w := &Watcher{client: client, node: node, self: self, log: logger, pause: startPause, spread: startSpread}
+	for _, opt := range opts {
+		opt(w)
+	}
+	return w
 }
 
 // Run follows the head until ctx ends, and reports its end on the channel.
@@ -72,7 +92,7 @@
 func (w *Watcher) run(ctx context.Context) {
 	var version uint64
 	failures := 0
-	pause := startPause + rand.N(startSpread)
+	pause := w.pause + rand.N(w.spread)
 	for wait.For(ctx, pause) {
 		if !w.node.Table.Snapshot().Elected(w.self, electionTask, watchersPerDomain) {
 			pause = electionInterval
@@ -81,6 +101,9 @@
 		next, err := w.follow(ctx, version)
 		if err != nil {
 			pause = retry.After(failures)
+			if w.node.Config.Current() == nil && failures < attemptsAtOnce {
+				pause = retry.After(0)
+			}
 			failures++
 			_ = level.Warn(w.log).Log("event", "store_unreachable", "failures", failures, "retry_in", pause, "err", err)
 			continue
--- a/common/coordination/config/check.go
+++ b/common/coordination/config/check.go
@@ -20,6 +20,8 @@
 	maxConnections  = 1_000_000
 	maxPerSecond    = 1_000_000
 	maxDrainSeconds = 7 * 24 * 60 * 60
+	maxWeight       = 1_000_000
+	maxFlowIdle     = 24 * 60 * 60 * 1000
 )
 
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
@@ -34,7 +36,9 @@
 func (l *loader) check() {
 	l.checkDeployment()
 	l.checkDomains()
-	l.checkServices()
+	endpoints := make(map[netip.AddrPort]string)
+	l.checkServices(endpoints)
+	l.checkRoutes(endpoints)
 }
 
 func (l *loader) checkDeployment() {
@@ -49,7 +53,15 @@
 	}
 	at := located{l.deployments[0], "/deployment"}
 	l.checkName(at, l.config.Deployment.Name)
+	switch l.config.Deployment.DomainOut {
+	case "", ResetFlows, KeepFlows:
+	default:
+		l.report(at, "domain_out", fmt.Sprintf("unknown policy %q", l.config.Deployment.DomainOut),
+			`use "reset" or "keep"`)
+	}
 	limits := l.config.Deployment.Limits
+	l.checkLimits(at, []limit{{"limits/flow_idle_millis", limits.FlowIdleMillis, 0, maxFlowIdle}})
+	limits.FlowIdleMillis = 0
 	if limits == (Limits{}) {
 		return
 	}
@@ -81,9 +93,14 @@
 	}
 }
 
-func (l *loader) checkServices() {
+func (l *loader) checkServices(endpoints map[netip.AddrPort]string) {
 	names := make(map[string]string)
-	endpoints := make(map[netip.AddrPort]string)
+	routed := make(map[string]bool)
+	for _, r := range l.config.Routes {
+		for _, t := range r.Targets {
+			routed[t.Service] = true
+		}
+	}
 	for i, s := range l.config.Services {
 		at := l.services[i]
 		l.checkName(at, s.Name)
@@ -91,7 +108,9 @@
 			l.report(at, "name", fmt.Sprintf("service %q is stated twice, first in %s", s.Name, first), "rename one")
 		}
 		names[s.Name] = at.file + ":" + at.path
-		l.checkEndpoint(at, s, endpoints)
+		if s.Address.IsValid() || s.Port != 0 || !routed[s.Name] {
+			l.checkEndpoint(at, s.Name, s.Endpoint(), endpoints)
+		}
 		l.checkLimits(at, []limit{
 			{"backend_class/slots", s.BackendClass.Slots, 1, maxSlots},
 			{"backend_class/connections", s.BackendClass.Connections, 1, maxConnections},
@@ -104,18 +123,45 @@
 	}
 }
 
-func (l *loader) checkEndpoint(at located, s Service, seen map[netip.AddrPort]string) {
-	if !s.Address.Is4() || s.Address.IsUnspecified() || s.Address.IsMulticast() {
-		l.report(at, "address", fmt.Sprintf("%q is no usable IPv4 address", s.Address), "give one, such as 10.80.0.1")
+// checkRoutes checks the routes, which may not take the endpoints of services.
+func (l *loader) checkRoutes(endpoints map[netip.AddrPort]string) {
+	names := make(map[string]string)
+	for i, r := range l.config.Routes {
+		at := l.routes[i]
+		l.checkName(at, r.Name)
+		if first, twice := names[r.Name]; twice {
+			l.report(at, "name", fmt.Sprintf("route %q is stated twice, first in %s", r.Name, first), "rename one")
+		}
+		names[r.Name] = at.file + ":" + at.path
+		l.checkEndpoint(at, r.Name, r.Endpoint(), endpoints)
+		total := 0
+		for n, t := range r.Targets {
+			field := fmt.Sprintf("targets/%d/service", n)
+			if _, known := l.config.Service(t.Service); !known {
+				l.report(at, field, fmt.Sprintf("service %q is not stated", t.Service), "name a service of this deployment")
+			}
+			l.checkLimits(at, []limit{{fmt.Sprintf("targets/%d/weight", n), t.Weight, 0, maxWeight}})
+			total += t.Weight
+		}
+		if total == 0 {
+			l.report(at, "targets", "no target has a weight", "name at least one service with a weight over 0")
+		}
+	}
+}
+
+func (l *loader) checkEndpoint(at located, name string, endpoint netip.AddrPort, seen map[netip.AddrPort]string) {
+	a := endpoint.Addr()
+	if !a.Is4() || a.IsUnspecified() || a.IsMulticast() {
+		l.report(at, "address", fmt.Sprintf("%q is no usable IPv4 address", a), "give one, such as 10.80.0.1")
 	}
-	if s.Port == 0 {
+	if endpoint.Port() == 0 {
 		l.report(at, "port", "the port is missing or zero", "give a port from 1 to 65535")
 	}
-	if first, twice := seen[s.Endpoint()]; twice {
-		l.report(at, "address", fmt.Sprintf("%s is also the address of service %q", s.Endpoint(), first),
+	if first, twice := seen[endpoint]; twice {
+		l.report(at, "address", fmt.Sprintf("%s is also the address of service %q", endpoint, first),
 			"give each service its own address or port")
 	}
-	seen[s.Endpoint()] = s.Name
+	seen[endpoint] = name
 }
 
 func (l *loader) checkName(at located, name string) {
--- a/common/coordination/config/config.go
+++ b/common/coordination/config/config.go
@@ -25,10 +25,23 @@
 	DomainOut DomainState = "out"
 )
 
+// What becomes of the flows of a failure domain that is taken out.
+const (
+	// ResetFlows ends them at once, so that their callers come back elsewhere. It
+	// is the default.
+	ResetFlows DomainOutPolicy = "reset"
+	// KeepFlows lets them go on; the failure domain gets no new ones.
+	KeepFlows DomainOutPolicy = "keep"
+)
+
 // Error is the class of this package's errors.
 var Error = errs.Class("config")
 
 type (
+	// DomainOutPolicy tells what becomes of the flows of a failure domain that is
+	// taken out.
+	DomainOutPolicy string
+
 	// DomainState tells whether a failure domain takes packets.
 	DomainState string
 
@@ -37,6 +50,9 @@
 		Deployment Deployment `json:"deployment"`
 		Domains    []Domain   `json:"domains"`
 		Services   []Service  `json:"services"`
+		// Routes are further addresses and ports, besides those that services
+		// state themselves.
+		Routes []Route `json:"routes,omitempty"`
 		// Drained are the backend servers that operators drain. It is set by
 		// "arbutusctl server drain", not in files.
 		Drained []string `json:"drained"`
@@ -46,6 +62,9 @@
 	Deployment struct {
 		Name   string `json:"name"`
 		Limits Limits `json:"limits"`
+		// DomainOut tells what becomes of the flows of a failure domain that is
+		// taken out; empty stands for ResetFlows.
+		DomainOut DomainOutPolicy `json:"domain_out,omitempty"`
 	}
 
 	// Limits hold for the whole deployment.
@@ -54,6 +73,9 @@
 		HeartbeatMillis int `json:"heartbeat_millis"`
 		// DeadAfterMillis is how long a member may be silent.
 		DeadAfterMillis int `json:"dead_after_millis"`
+		// FlowIdleMillis is how long a flow may be idle before agents forget it;
+		// 0 stands for ever. It is for agents that pass flows through.
+		FlowIdleMillis int `json:"flow_idle_millis,omitempty"`
 	}
 
 	// Domain is one failure domain.
@@ -63,7 +85,22 @@
 		State  DomainState `json:"state"`
 	}
 
-	// Service is one address and port, and how its backend servers are treated.
+	// Route is one address and port, and the services that its new flows go to.
+	Route struct {
+		Name    string     `json:"name"`
+		Address netip.Addr `json:"address"`
+		Port    uint16     `json:"port"`
+		Targets []Target   `json:"targets"`
+	}
+
+	// Target is one service of a route, with its share of new flows.
+	Target struct {
+		Service string `json:"service"`
+		Weight  int    `json:"weight"`
+	}
+
+	// Service is how backend servers are treated, and the address and port where
+	// callers reach them, which may be left to routes.
 	Service struct {
 		Name    string     `json:"name"`
 		Address netip.Addr `json:"address"`
@@ -78,6 +115,9 @@
 		// RetryRefused lets an agent offer a flow that its backend server
 		// refused to the next one.
 		RetryRefused bool `json:"retry_refused"`
+		// HealthPath is the HTTP path that tells whether a backend server takes
+		// requests. It is for agents that pass flows through.
+		HealthPath string `json:"health_path,omitempty"`
 	}
 
 	// BackendClass is what a warm backend server bears.
@@ -96,6 +136,28 @@
 	}
 )
 
+// Endpoint returns the route's address and port.
+func (r Route) Endpoint() netip.AddrPort { return netip.AddrPortFrom(r.Address, r.Port) }
+
+// FlowIdle returns how long a flow may be idle; 0 stands for ever.
+func (l Limits) FlowIdle() time.Duration { return time.Duration(l.FlowIdleMillis) * time.Millisecond }
+
+// KeepsFlows reports whether flows of a failure domain that is taken out go on.
+func (d Deployment) KeepsFlows() bool { return d.DomainOut == KeepFlows }
+
+// AllRoutes returns the routes, with one for each service that states an address.
+func (c Config) AllRoutes() []Route {
+	routes := slices.Clone(c.Routes)
+	for _, s := range c.Services {
+		if s.Address.IsValid() {
+			routes = append(routes, Route{
+				Name: s.Name, Address: s.Address, Port: s.Port, Targets: []Target{{Service: s.Name, Weight: 1}},
+			})
+		}
+	}
+	return routes
+}
+
 // Endpoint returns the service's address and port.
 func (s Service) Endpoint() netip.AddrPort { return netip.AddrPortFrom(s.Address, s.Port) }
 
@@ -186,5 +248,7 @@
 	slices.SortFunc(c.Domains, func(a, b Domain) int { return cmp.Compare(a.Name, b.Name) })
 	c.Services = slices.Clone(c.Services)
 	slices.SortFunc(c.Services, func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
+	c.Routes = slices.Clone(c.Routes)
+	slices.SortFunc(c.Routes, func(a, b Route) int { return cmp.Compare(a.Name, b.Name) })
 	return c
 }
--- a/common/coordination/config/files.go
+++ b/common/coordination/config/files.go
@@ -22,6 +22,7 @@
 		Deployment *Deployment `json:"deployment"`
 		Domains    []Domain    `json:"domains"`
 		Services   []Service   `json:"services"`
+		Routes     []Route     `json:"routes"`
 	}
 
 	// source tells where a part of the configuration stands.
@@ -36,6 +37,7 @@
 		deployments []source
 		domains     []located
 		services    []located
+		routes      []located
 		problems    strictjson.Problems
 	}
 
@@ -106,6 +108,10 @@
 		l.config.Services = append(l.config.Services, service)
 		l.services = append(l.services, located{s, fmt.Sprintf("/services/%d", i)})
 	}
+	for i, r := range f.Routes {
+		l.config.Routes = append(l.config.Routes, r)
+		l.routes = append(l.routes, located{s, fmt.Sprintf("/routes/%d", i)})
+	}
 }
 
 // report notes a problem at a field of the located object.
--- a/common/coordination/config/revision.go
+++ b/common/coordination/config/revision.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"strings"
 
 	"github.com/go-json-experiment/json"
 	"github.com/zeebo/xxh3"
@@ -14,9 +15,10 @@
 )
 
 const (
-	servicesPerChunk = 32
-	deploymentChunk  = "deployment"
-	servicesChunk    = "services"
+	itemsPerChunk   = 32
+	deploymentChunk = "deployment"
+	servicesChunk   = "services"
+	routesChunk     = "routes"
 )
 
 type (
@@ -44,36 +46,56 @@
 	servicesPart struct {
 		Services []Service `json:"services"`
 	}
+
+	routesPart struct {
+		Routes []Route `json:"routes"`
+	}
 )
 
 // Key returns the hexadecimal form of the chunk's digest.
 func (c Chunk) Key() string { return hex.EncodeToString(c.Digest[:]) }
 
-// Split returns the configuration's chunks. A service stays in the same chunk
-// as long as the number of chunks is the same, so a change to one service
+// Split returns the configuration's chunks. A service or route stays in the same
+// chunk as long as the number of chunks is the same, so a change to one of them
 // changes one chunk.
 func Split(c Config) ([]Chunk, error) {
 	c = c.sorted()
-	n := 1
-	for n*servicesPerChunk < len(c.Services) {
-		n *= 2
-	}
-	parts := make([]servicesPart, n)
-	for _, s := range c.Services {
-		i := xxh3.HashString(s.Name) % uint64(n)
-		parts[i].Services = append(parts[i].Services, s)
-	}
 	first, err := encodeChunk(deploymentChunk, deploymentPart{c.Deployment, c.Domains, c.Drained})
 	if err != nil {
 		return nil, err
 	}
-	chunks := []Chunk{first}
+	services, err := splitItems(servicesChunk, c.Services,
+		func(s Service) string { return s.Name }, func(part []Service) any { return servicesPart{part} })
+	if err != nil {
+		return nil, err
+	}
+	chunks := append([]Chunk{first}, services...)
+	if len(c.Routes) == 0 {
+		return chunks, nil
+	}
+	routes, err := splitItems(routesChunk, c.Routes,
+		func(r Route) string { return r.Name }, func(part []Route) any { return routesPart{part} })
+	return append(chunks, routes...), err
+}
+
+// splitItems returns the chunks of a list whose items are spread by their names.
+func splitItems[T any](chunk string, items []T, nameOf func(T) string, encode func([]T) any) ([]Chunk, error) {
+	n := 1
+	for n*itemsPerChunk < len(items) {
+		n *= 2
+	}
+	parts := make([][]T, n)
+	for _, item := range items {
+		i := xxh3.HashString(nameOf(item)) % uint64(n)
+		parts[i] = append(parts[i], item)
+	}
+	chunks := make([]Chunk, 0, n)
 	for i, part := range parts {
-		chunk, err := encodeChunk(fmt.Sprintf("%s/%d", servicesChunk, i), part)
+		c, err := encodeChunk(fmt.Sprintf("%s/%d", chunk, i), encode(part))
 		if err != nil {
 			return nil, err
 		}
-		chunks = append(chunks, chunk)
+		chunks = append(chunks, c)
 	}
 	return chunks, nil
 }
@@ -175,6 +197,14 @@
 		r.Config.Drained = append(r.Config.Drained, part.Drained...)
 		return nil
 	}
+	if strings.HasPrefix(c.Name, routesChunk+"/") {
+		var part routesPart
+		if err := json.Unmarshal(c.Value, &part); err != nil {
+			return Error.Wrap(err)
+		}
+		r.Config.Routes = append(r.Config.Routes, part.Routes...)
+		return nil
+	}
 	var part servicesPart
 	if err := json.Unmarshal(c.Value, &part); err != nil {
 		return Error.Wrap(err)
--- a/common/coordination/config/view.go
+++ b/common/coordination/config/view.go
@@ -11,12 +11,18 @@
 	Domains []Domain `json:"domains"`
 	Drained []string `json:"drained"`
 	Limits  Limits   `json:"limits"`
+	// DomainOut tells what becomes of the flows of a failure domain that is taken
+	// out.
+	DomainOut DomainOutPolicy `json:"domain_out,omitempty"`
 }
 
 // View returns the named service's view, and whether there is such a service.
 func (c Config) View(service string) (View, bool) {
 	s, ok := c.Service(service)
-	return View{Service: s, Domains: c.Domains, Drained: c.Drained, Limits: c.Deployment.Limits}, ok
+	return View{
+		Service: s, Domains: c.Domains, Drained: c.Drained,
+		Limits: c.Deployment.Limits, DomainOut: c.Deployment.DomainOut,
+	}, ok
 }
 
 // Encode returns the view as it is sent.
@@ -61,3 +67,6 @@
 func (v View) IsDrained(server string) bool {
 	return Config{Drained: v.Drained}.IsDrained(server)
 }
+
+// KeepsFlows reports whether flows of a failure domain that is taken out go on.
+func (v View) KeepsFlows() bool { return v.DomainOut == KeepFlows }
--- a/common/coordination/store/store.go
+++ b/common/coordination/store/store.go
@@ -15,6 +15,8 @@
 	"context"
 	"encoding/hex"
 	"net/http"
+	"net/netip"
+	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -29,6 +31,8 @@
 	KeyHead      = "arbutus/head"
 	KeyCollector = "arbutus/collector"
 	PrefixChunk  = "arbutus/chunk/"
+	// PrefixBalancers precedes the packet addresses of registered balancers.
+	PrefixBalancers = "arbutus/balancers/"
 )
 
 const callTimeout = 2 * time.Second
@@ -36,6 +40,26 @@
 // ChunkKey returns the key of the chunk with the digest.
 func ChunkKey(digest []byte) string { return PrefixChunk + hex.EncodeToString(digest) }
 
+// RegistrationKey returns the key under which a balancer is registered.
+func RegistrationKey(packet netip.AddrPort) string { return PrefixBalancers + packet.String() }
+
+// Registered returns the packet addresses of registered balancers.
+func Registered(ctx context.Context, c *Client) ([]netip.AddrPort, error) {
+	entries, err := c.List(ctx, PrefixBalancers)
+	if err != nil {
+		return nil, err
+	}
+	addresses := make([]netip.AddrPort, 0, len(entries))
+	for _, e := range entries {
+		a, err := netip.ParseAddrPort(strings.TrimPrefix(e.Key, PrefixBalancers))
+		if err != nil {
+			return nil, Error.New("key %q names no address", e.Key)
+		}
+		addresses = append(addresses, a)
+	}
+	return addresses, nil
+}
+
 // Error is the class of this package's errors.
 var Error = errs.Class("store")
 
--- a/common/protocol/ipv4/key.go
+++ b/common/protocol/ipv4/key.go
@@ -5,7 +5,8 @@
 	"net/netip"
 )
 
-const flowKeyBytes = 12
+// FlowKeyBytes is the size of an encoded FlowKey.
+const FlowKeyBytes = 12
 
 // Append appends the key's twelve bytes: caller address and port, service
 // address and port, in network order.
@@ -19,12 +20,12 @@
 }
 
 // Encode returns the key's twelve bytes.
-func (k FlowKey) Encode() []byte { return k.Append(make([]byte, 0, flowKeyBytes)) }
+func (k FlowKey) Encode() []byte { return k.Append(make([]byte, 0, FlowKeyBytes)) }
 
 // DecodeFlowKey returns the key that was encoded as b, and whether b has the
 // right length.
 func DecodeFlowKey(b []byte) (FlowKey, bool) {
-	if len(b) != flowKeyBytes {
+	if len(b) != FlowKeyBytes {
 		return FlowKey{}, false
 	}
 	return FlowKey{
--- a/common/protocol/link/link.go
+++ b/common/protocol/link/link.go
@@ -41,9 +41,13 @@
 		key       control.Key
 		onControl func(from netip.AddrPort, m *controlv1.Datagram)
 		onPacket  func(from netip.AddrPort, h capsule.Header, packet []byte)
-		onDrop    func(Drop)
-		onSent    func(bytes int)
-		onRead    func(bytes int)
+		// onUnclaimed takes packets that no agent claimed, onHeld the word of
+		// agents on flows that they hold.
+		onUnclaimed func(h capsule.Header, packet []byte)
+		onHeld      func(h capsule.Held)
+		onDrop      func(Drop)
+		onSent      func(bytes int)
+		onRead      func(bytes int)
 	}
 
 	// Option changes how a Link is built.
@@ -61,6 +65,12 @@
 	return func(l *Link) { l.onPacket = f }
 }
 
+// WithAnswers sets what is called for packets that no agent claimed, and for the
+// word of agents on flows that they hold.
+func WithAnswers(unclaimed func(h capsule.Header, packet []byte), held func(h capsule.Held)) Option {
+	return func(l *Link) { l.onUnclaimed, l.onHeld = unclaimed, held }
+}
+
 // WithDrop sets what is called for each dropped datagram.
 func WithDrop(f func(Drop)) Option {
 	return func(l *Link) { l.onDrop = f }
@@ -75,13 +85,15 @@
 // New returns a link over the socket.
 func New(socket *datagram.Socket, key control.Key, opts ...Option) *Link {
 	l := &Link{
-		socket:    socket,
-		key:       key,
-		onControl: func(netip.AddrPort, *controlv1.Datagram) {},
-		onPacket:  func(netip.AddrPort, capsule.Header, []byte) {},
-		onDrop:    func(Drop) {},
-		onSent:    func(int) {},
-		onRead:    func(int) {},
+		socket:      socket,
+		key:         key,
+		onControl:   func(netip.AddrPort, *controlv1.Datagram) {},
+		onPacket:    func(netip.AddrPort, capsule.Header, []byte) {},
+		onDrop:      func(Drop) {},
+		onUnclaimed: func(capsule.Header, []byte) {},
+		onHeld:      func(capsule.Held) {},
+		onSent:      func(int) {},
+		onRead:      func(int) {},
 	}
 	for _, opt := range opts {
 		opt(l)
@@ -165,16 +177,33 @@
 		l.onDrop(DropHeader)
 		return
 	}
-	if kind == capsule.KindPacket {
-		h, packet, err := capsule.ParsePacket(m.Bytes(), visited)
+	switch kind {
+	case capsule.KindPacket:
+		if h, packet, ok := l.parsePacket(m, visited); ok {
+			l.onPacket(m.Peer, h, packet)
+		}
+	case capsule.KindUnclaimed:
+		if h, packet, ok := l.parsePacket(m, visited); ok {
+			l.onUnclaimed(h, packet)
+		}
+	case capsule.KindHeld:
+		h, err := capsule.ParseHeld(m.Bytes())
 		if err != nil {
 			l.onDrop(DropMalformed)
 			return
 		}
-		l.onPacket(m.Peer, h, packet)
-		return
+		l.onHeld(h)
+	default:
+		l.openControl(m)
+	}
+}
+
+func (l *Link) parsePacket(m *datagram.Message, visited []uint64) (capsule.Header, []byte, bool) {
+	h, packet, err := capsule.ParsePacket(m.Bytes(), visited)
+	if err != nil {
+		l.onDrop(DropMalformed)
 	}
-	l.openControl(m)
+	return h, packet, err == nil
 }
 
 func (l *Link) openControl(m *datagram.Message) {
--- a/arbutus-agent/state/load.go
+++ b/common/state/load/load.go
@@ -1,4 +1,9 @@
-package state
+// Package load compares what agents' backend servers have to do.
+//
+// # Usage
+//
+//	if own.Exceeds(other, slots) { passOn() }
+package load
 
 const (
 	// An agent has clearly fewer flows if they are fewer by flowMargin, and by one
--- a/arbutus-agent/state/load_test.go
+++ b/common/state/load/load_test.go
@@ -1,4 +1,4 @@
-package state
+package load
 
 import (
 	"testing"
--- a/common/state/placement/placement.go
+++ b/common/state/placement/placement.go
@@ -27,6 +27,7 @@
 	// Candidate is one agent that may hold flows of a service.
 	Candidate struct {
 		Name     string
+		Domain   string
 		Instance uint64
 		Packet   netip.AddrPort
 		// Admitting tells that the agent takes new flows.
@@ -37,7 +38,9 @@
 	// Service is the immutable candidate list of one service.
 	Service struct {
 		candidates []Candidate
-		ring       ring
+		// byName has the index of each name's latest instance.
+		byName map[string]int
+		ring   ring
 	}
 )
 
@@ -49,9 +52,13 @@
 
 // NewService returns the list of the candidates, which it copies.
 func NewService(candidates []Candidate) *Service {
-	s := &Service{candidates: slices.Clone(candidates)}
+	s := &Service{candidates: slices.Clone(candidates), byName: make(map[string]int, len(candidates))}
 	for i := range s.candidates {
-		s.candidates[i].seed = xxh3.HashString(s.candidates[i].Name)
+		c := &s.candidates[i]
+		c.seed = xxh3.HashString(c.Name)
+		if j, known := s.byName[c.Name]; !known || s.candidates[j].Instance < c.Instance {
+			s.byName[c.Name] = i
+		}
 	}
 	if len(s.candidates) >= ringThreshold {
 		s.ring = newRing(s.candidates)
@@ -98,6 +105,18 @@
 	return nil, false
 }
 
+// ByName returns the latest instance of the named candidate.
+func (s *Service) ByName(name string) (*Candidate, bool) {
+	i, ok := s.byName[name]
+	if !ok {
+		return nil, false
+	}
+	return &s.candidates[i], true
+}
+
+// Score ranks a candidate for the flow's hash: the highest comes first.
+func (c *Candidate) Score(hash uint64) uint64 { return score(hash, c.seed) }
+
 func (s *Service) first(hash uint64, visited []uint64, admitting bool) (*Candidate, bool) {
 	if s.ring != nil {
 		return s.firstOnRing(hash, visited, admitting)
