Bound the age of the store's word, and reset flows that nobody can hold sooner

After a closing power loss, the agents' own bound on cold backend servers (4 flows a second where the operator states none) refused 2,875 flows, agents asked for a configuration every 400 ms, and callers of lost flows were told after 1.5 s.

--- a/arbutus-agent/passthrough/inbound.go
+++ b/arbutus-agent/passthrough/inbound.go
@@ -164,7 +164,7 @@
 // or else to the next candidate. The caller holds the mutex.
 func (e *Engine) walkOn(v *state.View, h capsule.Header, p frame.Frame, now time.Time) {
 	h.Visited = append(h.Visited, e.self().Instance)
-	if !e.server.isFullyKnown(now) {
+	if _, asked := e.denied[p.Key]; !asked && !e.server.isFullyKnown(now) {
 		h.Marks |= capsule.MarkUncertain
 	}
 	if known, ok := e.directory.Get(p.Key); ok {
--- a/arbutus-agent/passthrough/serve/providers.go
+++ b/arbutus-agent/passthrough/serve/providers.go
@@ -25,6 +25,10 @@
 	"arbutusfront.dev/common/transport/network"
 )
 
+// firstInterval is the interval of heartbeats until a balancer has told the service's
+// configuration, so that a start of everything takes no longer than it must.
+const firstInterval = 50 * time.Millisecond
+
 // gatherPause is how long updates for other agents are gathered. A packet that
 // comes another way is looked for after one round trip of its caller, 2 ms or more.
 const gatherPause = 2 * time.Millisecond
@@ -109,8 +113,12 @@
 		heartbeat.WithSeeds(m.seeds(s.Seeds)),
 		heartbeat.WithReport(func() heartbeat.Report { return heartbeat.Report{Revision: n.View().Revision} }),
 		heartbeat.WithPace(func() heartbeat.Pace {
-			limits := n.View().Config.Limits
-			return heartbeat.Pace{Interval: limits.Heartbeat(), Lease: limits.DeadAfter()}
+			v := n.View()
+			pace := heartbeat.Pace{Interval: v.Config.Limits.Heartbeat(), Lease: v.Config.Limits.DeadAfter()}
+			if !v.Known {
+				pace.Interval = firstInterval
+			}
+			return pace
 		}),
 		heartbeat.WithRefute(n.Learn),
 	)
--- a/arbutus-agent/passthrough/server.go
+++ b/arbutus-agent/passthrough/server.go
@@ -28,8 +28,9 @@
 	firstAnnouncements = 2
 	// window is the span in which a cold backend server bears its rate.
 	window = time.Second
-	// unstatedColdRate is the rate of a service that states none.
-	unstatedColdRate = 4
+	// restartDelay is less than the time between the end of an agent and the start
+	// of its next run, so that no agent ran within it before this one started.
+	restartDelay = 400 * time.Millisecond
 )
 
 type (
@@ -108,7 +109,8 @@
 	return s
 }
 
-// Configure sets the limits of a cold backend server.
+// Configure sets the limits of a cold backend server. A service without a rate has
+// none.
 func (s *Server) Configure(cold config.ColdStart) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -126,7 +128,7 @@
 	}
 	now := s.now()
 	if !s.known || a.ID != s.announced.ID || a.Born != s.announced.Born {
-		s.predates = a.Sequence > firstAnnouncements && a.Born < s.started.UnixMilli()
+		s.predates = a.Sequence > firstAnnouncements && a.Born < s.started.Add(-restartDelay).UnixMilli()
 		s.logChange("server_started", a)
 	} else if a.Draining != s.announced.Draining || s.gone || s.dead {
 		s.logChange("server_changed", a)
@@ -223,7 +225,7 @@
 	for len(s.taken) > 0 && now.Sub(s.taken[0]) >= window {
 		s.taken = s.taken[1:]
 	}
-	if s.isCold(now) && len(s.taken) >= s.coldLimit() {
+	if s.coldRate > 0 && s.isCold(now) && len(s.taken) >= s.coldRate {
 		return "server_cold"
 	}
 	s.taken = append(s.taken, now)
@@ -232,13 +234,6 @@
 
 func (s *Server) isCold(now time.Time) bool { return s.coldUnknown || now.Before(s.coldUntil) }
 
-func (s *Server) coldLimit() int {
-	if s.coldRate <= 0 {
-		return unstatedColdRate
-	}
-	return s.coldRate
-}
-
 // isFullyKnown reports whether the agent knows all flows of the backend server.
 func (s *Server) isFullyKnown(now time.Time) bool {
 	s.mu.Lock()
--- a/arbutus-balancer/balancer/gossip.go
+++ b/arbutus-balancer/balancer/gossip.go
@@ -50,6 +50,8 @@
 		Changes:     member.EncodeAll(changes),
 		Revision:    p.node.Config.Current().Number(),
 		TableDigest: p.node.Table.Snapshot().Digest,
+
+		RevisionAgeMillis: p.revisionAge(),
 	}
 	for _, b := range pick(p.others(), n) {
 		p.send(b.Packet, &controlv1.Datagram{Body: &controlv1.Datagram_Gossip{Gossip: g}})
@@ -92,6 +94,7 @@
 		// when it has announced itself anew.
 		return
 	}
+	p.confirm(g.GetRevision(), g.GetRevisionAgeMillis())
 	for _, c := range g.GetChanges() {
 		m, err := member.Decode(c)
 		if err != nil {
--- a/arbutus-balancer/balancer/peers.go
+++ b/arbutus-balancer/balancer/peers.go
@@ -16,6 +16,7 @@
 	"context"
 	"errors"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -214,7 +215,9 @@
 		Monitor:      p.announcer.Self().WithoutAddresses().Encode(),
 		Revision:     p.node.Config.Current().Number(),
 		KnownVersion: known.Version,
-		DeclaredDead: known.Phase == member.Dead,
+
+		RevisionAgeMillis: p.revisionAge(),
+		DeclaredDead:      known.Phase == member.Dead,
 	}
 	if version, disputed := p.isDisputed(known); disputed {
 		ack.DeclaredDead, ack.KnownVersion = true, version
@@ -257,11 +260,30 @@
 		p.Learn(monitor)
 	}
 	p.announcer.Handle(ack)
+	p.confirm(ack.GetRevision(), ack.GetRevisionAgeMillis())
 	if known, ok := p.node.Table.Get(monitor.ID()); ok && ack.GetRevision() > p.node.Config.Current().Number() {
 		p.request(pull{from: known, revision: true})
 	}
 }
 
+// revisionAge returns how long ago the store confirmed the revision in force, as it
+// is told to others.
+func (p *Peers) revisionAge() uint32 {
+	age, known := p.node.Config.Age(p.now())
+	if !known || age > math.MaxInt32*time.Millisecond {
+		return 0
+	}
+	return uint32(max(age, 0).Milliseconds()) + 1
+}
+
+// confirm takes in another balancer's word on how long ago the store confirmed the
+// revision.
+func (p *Peers) confirm(revision uint64, ageMillis uint32) {
+	if ageMillis > 0 {
+		p.node.Config.Confirm(revision, p.now().Add(-time.Duration(ageMillis)*time.Millisecond))
+	}
+}
+
 func (p *Peers) handleNotice(n *controlv1.Notice) {
 	m, err := member.Decode(n.GetMember())
 	if err != nil {
--- a/arbutus-balancer/fabric/unclaimed.go
+++ b/arbutus-balancer/fabric/unclaimed.go
@@ -19,6 +19,9 @@
 // the caller's packets, so that an agent which has just become known is asked too.
 const certainPatience = 150 * time.Millisecond
 
+// settleTime is how long a balancer may take to learn of all agents after its start.
+const settleTime = 800 * time.Millisecond
+
 // HandleHeld takes in an agent's word that it holds a flow.
 func (f *Forwarder) HandleHeld(h capsule.Held) {
 	if f.placement != nil {
@@ -91,7 +94,7 @@
 // it may only be unknown as yet.
 func (f *Forwarder) endUnclaimed(h capsule.Header, p frame.Frame) {
 	patience := certainPatience
-	if h.Marks.Has(capsule.MarkUncertain) {
+	if h.Marks.Has(capsule.MarkUncertain) || f.placement.now().Sub(f.placement.started) < settleTime {
 		patience = orphan.Patience
 	}
 	if p.Flags.Has(ipv4.FlagRST) || !f.placement.orphans.MayReset(p.Key, f.placement.now(), patience) || !f.reset(p) {
--- a/arbutus-balancer/store/watcher.go
+++ b/arbutus-balancer/store/watcher.go
@@ -34,6 +34,8 @@
 
 	electionTask     = "watch head"
 	electionInterval = time.Second
+	// staleChecks is how often within the bound on staleness its age is looked at.
+	staleChecks = 8
 	// startPause lets a balancer hear of others first, which may have the
 	// configuration; startSpread keeps a fleet that starts from asking at once.
 	startPause  = 300 * time.Millisecond
@@ -56,8 +58,16 @@
 		node   *state.Node
 		self   member.Member
 		log    log.Logger
-		pause  time.Duration
-		spread time.Duration
+		// pause and spread are as in WithStart, chunkSpread as the constant.
+		pause       time.Duration
+		spread      time.Duration
+		chunkSpread time.Duration
+		// wait is how long one call waits for a change.
+		wait time.Duration
+		// staleBound is the age of the store's word from which a balancer asks that
+		// is not elected; 0 for never.
+		staleBound time.Duration
+		watchers   int
 	}
 
 	// Option changes how a Watcher is built.
@@ -70,9 +80,24 @@
 	return func(w *Watcher) { w.pause, w.spread = pause, spread }
 }
 
+// WithFreshness bounds how old the store's word on the configuration becomes: each
+// call waits for a change for the given time, and a balancer whose peers have no word
+// that is younger than the bound asks itself. One balancer of each failure domain
+// watches.
+func WithFreshness(wait, bound time.Duration) Option {
+	return func(w *Watcher) { w.wait, w.staleBound, w.watchers = wait, bound, 1 }
+}
+
+// WithoutChunkReads tells that the chunks are at hand once the head is, so that
+// reading them need not be spread.
+func WithoutChunkReads() Option { return func(w *Watcher) { w.chunkSpread = 0 } }
+
 // New returns a watcher of the store for the balancer.
 func New(client *store.Client, node *state.Node, self member.Member, logger log.Logger, opts ...Option) *Watcher {
-	w := &Watcher{client: client, node: node, self: self, log: logger, pause: startPause, spread: startSpread}
+	w := &Watcher{
+		client: client, node: node, self: self, log: logger, pause: startPause, spread: startSpread,
+		chunkSpread: chunkSpread, wait: watchWait, watchers: watchersPerDomain,
+	}
 	for _, opt := range opts {
 		opt(w)
 	}
@@ -94,8 +119,8 @@
 	failures := 0
 	pause := w.pause + rand.N(w.spread)
 	for wait.For(ctx, pause) {
-		if !w.node.Table.Snapshot().Elected(w.self, electionTask, watchersPerDomain) {
-			pause = electionInterval
+		if !w.mustWatch() {
+			pause = w.electionPause()
 			continue
 		}
 		next, err := w.follow(ctx, version)
@@ -112,23 +137,44 @@
 	}
 }
 
+// mustWatch reports whether this balancer is to ask the store now.
+func (w *Watcher) mustWatch() bool {
+	if w.node.Table.Snapshot().Elected(w.self, electionTask, w.watchers) {
+		return true
+	}
+	age, known := w.node.Config.Age(time.Now())
+	return w.staleBound > 0 && (!known || age > w.staleBound)
+}
+
+func (w *Watcher) electionPause() time.Duration {
+	if w.staleBound > 0 {
+		return w.staleBound / staleChecks
+	}
+	return electionInterval
+}
+
 // follow waits for a head later than the version and adopts it. A watch that
 // goes silent ends by its own deadline.
 func (w *Watcher) follow(ctx context.Context, version uint64) (uint64, error) {
-	e, err := w.client.Watch(ctx, store.KeyHead, version, watchWait)
-	if err != nil || e.Version <= version {
+	e, err := w.client.Watch(ctx, store.KeyHead, version, w.wait)
+	if err != nil {
 		return version, err
 	}
+	if e.Version <= version {
+		w.node.Config.Confirm(w.node.Config.Current().Number(), time.Now())
+		return version, nil
+	}
 	var head controlv1.Head
 	if err := proto.Unmarshal(e.Value, &head); err != nil {
 		return version, err
 	}
 	known := w.node.Config.Current()
-	if missing := len(known.Missing(&head)); missing > 1 {
-		wait.For(ctx, rand.N(chunkSpread*time.Duration(missing)))
+	if missing := len(known.Missing(&head)); missing > 1 && w.chunkSpread > 0 {
+		wait.For(ctx, rand.N(w.chunkSpread*time.Duration(missing)))
 		known = w.node.Config.Current()
 	}
 	if head.GetRevision() <= known.Number() {
+		w.node.Config.Confirm(known.Number(), time.Now())
 		return e.Version, nil
 	}
 	values, err := config.ReadChunks(ctx, w.client, known, &head)
@@ -139,7 +185,9 @@
 	if err != nil {
 		return version, err
 	}
-	if w.node.Config.Adopt(r) {
+	adopted := w.node.Config.Adopt(r)
+	w.node.Config.Confirm(r.Number(), time.Now())
+	if adopted {
 		_ = level.Info(w.log).Log("event", "revision_adopted", "revision", r.Number(), "from", "store")
 	}
 	return e.Version, nil
--- a/common/protocol/frame/frame.go
+++ b/common/protocol/frame/frame.go
@@ -77,7 +77,7 @@
 			reversed := p.Key()
 			return fromIPv4(p, ipv4.FlowKey{Caller: reversed.Service, Service: reversed.Caller}), nil
 		},
-		Reset: resetIPv4,
+		Reset:         resetIPv4,
 		ClearReturned: func([]byte) {},
 	}
 }
