Take in another balancer's members before being ready; ask for registered balancers at once

Agents waited for the stated seeds, the last to come back. Change: one pull of a peer's table before a balancer is ready; no reset while agents are becoming known; registered balancers are asked for at the start.

--- a/arbutus-balancer/balancer/gossip.go
+++ b/arbutus-balancer/balancer/gossip.go
@@ -172,4 +172,5 @@
 			p.merge(m)
 		}
 	}
+	p.synced.Store(true)
 }
--- a/arbutus-balancer/balancer/peers.go
+++ b/arbutus-balancer/balancer/peers.go
@@ -20,6 +20,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -58,6 +59,9 @@
 		pulls     chan pull
 		kick      chan struct{}
 
+		// synced tells that another balancer's table has been taken in.
+		synced atomic.Bool
+
 		mu       sync.Mutex
 		rumors   map[member.ID]int
 		suspects map[member.ID]*suspicion
@@ -175,6 +179,9 @@
 	}
 }
 
+// Synced reports whether another balancer's whole table has been taken in.
+func (p *Peers) Synced() bool { return p.synced.Load() }
+
 func (p *Peers) handleHeartbeat(from netip.AddrPort, h *controlv1.Heartbeat) {
 	m, err := member.Decode(h.GetMember())
 	if err != nil {
@@ -261,6 +268,9 @@
 	}
 	p.announcer.Handle(ack)
 	p.confirm(ack.GetRevision(), ack.GetRevisionAgeMillis())
+	if known, ok := p.node.Table.Get(monitor.ID()); ok && !p.Synced() {
+		p.request(pull{from: known, members: true})
+	}
 	if known, ok := p.node.Table.Get(monitor.ID()); ok && ack.GetRevision() > p.node.Config.Current().Number() {
 		p.request(pull{from: known, revision: true})
 	}
--- a/arbutus-balancer/fabric/placement.go
+++ b/arbutus-balancer/fabric/placement.go
@@ -44,7 +44,6 @@
 	placements struct {
 		domain  string
 		now     func() time.Time
-		started time.Time
 		orphans *orphan.Set
 
 		mu     sync.Mutex
@@ -83,7 +82,6 @@
 	return &placements{
 		domain:  domain,
 		now:     time.Now,
-		started: time.Now(),
 		orphans: orphan.New(),
 		flows:   make(map[ipv4.FlowKey]*placed),
 		agents:  make(map[string]*agent),
--- a/arbutus-balancer/fabric/unclaimed.go
+++ b/arbutus-balancer/fabric/unclaimed.go
@@ -14,13 +14,9 @@
 	"arbutusfront.dev/common/transport/datagram"
 )
 
-// certainPatience is how long a flow is looked for that no agent of any service
-// holds, although all know of all flows at their backend servers. It spans two of
-// the caller's packets, so that an agent which has just become known is asked too.
-const certainPatience = 150 * time.Millisecond
-
-// settleTime is how long a balancer may take to learn of all agents after its start.
-const settleTime = 800 * time.Millisecond
+// settleTime is how long after a new agent has become known another one may only be
+// unknown here as yet, as while everything starts.
+const settleTime = 300 * time.Millisecond
 
 // HandleHeld takes in an agent's word that it holds a flow.
 func (f *Forwarder) HandleHeld(h capsule.Held) {
@@ -45,6 +41,9 @@
 		return
 	}
 	hash := placement.FlowHash(p.Key)
+	if !route.IsStaffed() {
+		h.Marks |= capsule.MarkUncertain
+	}
 	if t, ok := nextTarget(routes.Targets(route, hash, otherServices), h.Service); ok {
 		f.ask(routes, t, h, p, hash)
 		return
@@ -91,10 +90,11 @@
 }
 
 // endUnclaimed tells the caller that its flow has ended, unless an agent that holds
-// it may only be unknown as yet.
+// it may only be unknown as yet. Otherwise all agents know of all flows at their backend
+// servers, and one of them would have claimed the packet.
 func (f *Forwarder) endUnclaimed(h capsule.Header, p frame.Frame) {
-	patience := certainPatience
-	if h.Marks.Has(capsule.MarkUncertain) || f.placement.now().Sub(f.placement.started) < settleTime {
+	patience := time.Duration(0)
+	if now := f.placement.now(); h.Marks.Has(capsule.MarkUncertain) || now.Sub(f.node.LastJoin()) < settleTime {
 		patience = orphan.Patience
 	}
 	if p.Flags.Has(ipv4.FlagRST) || !f.placement.orphans.MayReset(p.Key, f.placement.now(), patience) || !f.reset(p) {
--- a/arbutus-balancer/serve/mode.go
+++ b/arbutus-balancer/serve/mode.go
@@ -31,6 +31,9 @@
 	// ForwardsAlone has the balancer forward although it hears nobody of another
 	// failure domain.
 	ForwardsAlone bool
+	// SyncBound is how long a balancer is not ready after its start that has not
+	// taken in the members that another balancer knows; 0 for not at all.
+	SyncBound time.Duration
 	// LeaveBound ends a leaving balancer although the fabric still sends; 0
 	// stands for 10 s.
 	LeaveBound time.Duration
--- a/arbutus-balancer/serve/providers.go
+++ b/arbutus-balancer/serve/providers.go
@@ -166,6 +166,8 @@
 	return operator.New(n, p, key, c.http, a.Self)
 }
 
+func provideStart() time.Time { return time.Now() }
+
 func provideListener(s *settings.Balancer, n network.Network) (net.Listener, error) {
 	return n.Listen(s.ControlAddress)
 }
--- a/arbutus-balancer/serve/server.go
+++ b/arbutus-balancer/serve/server.go
@@ -49,6 +49,7 @@
 	listener  net.Listener
 	clients   clients
 	mode      Mode
+	started   time.Time
 	log       log.Logger
 }
 
@@ -94,7 +95,15 @@
 }
 
 // NotReady returns why the fabric should not send, or nothing.
-func (s *Server) NotReady() string { return notReady(s.node, s.announcer, s.mode) }
+func (s *Server) NotReady() string {
+	if reason := notReady(s.node, s.announcer, s.mode); reason != "" {
+		return reason
+	}
+	if s.mode.SyncBound > 0 && !s.peers.Synced() && time.Since(s.started) < s.mode.SyncBound {
+		return "members are not known yet"
+	}
+	return ""
+}
 
 func (s *Server) leave() {
 	_ = level.Info(s.log).Log("event", "leaving")
--- a/arbutus-balancer/serve/wire.go
+++ b/arbutus-balancer/serve/wire.go
@@ -28,6 +28,7 @@
 		provideOperator,
 		provideListener,
 		provideSender,
+		provideStart,
 		state.NewNode,
 		wire.Struct(new(Server), "*"),
 	)
--- a/arbutus-balancer/serve/wire_gen.go
+++ b/arbutus-balancer/serve/wire_gen.go
@@ -47,6 +47,7 @@
 		cleanup()
 		return nil, nil, err
 	}
+	time := provideStart()
 	serveServer := &Server{
 		node:      node,
 		announcer: announcer,
@@ -61,6 +62,7 @@
 		listener:  listener,
 		clients:   serveClients,
 		mode:      m,
+		started:   time,
 		log:       l,
 	}
 	return serveServer, func() {
--- a/arbutus-balancer/state/node.go
+++ b/arbutus-balancer/state/node.go
@@ -43,6 +43,10 @@
 		heard    map[member.ID]Heard
 		contacts map[string]time.Time
 		blocked  map[string]uint64
+		// agents are the instances of agents that are known to live, joined is when
+		// the last of them became known.
+		agents map[uint64]bool
+		joined time.Time
 	}
 )
 
@@ -56,6 +60,8 @@
 		heard:    make(map[member.ID]Heard),
 		contacts: make(map[string]time.Time),
 		blocked:  make(map[string]uint64),
+		agents:   make(map[uint64]bool),
+		joined:   time.Now(),
 	}
 	n.routes.Store(BuildRoutes(nil, nil, nil))
 	return n
@@ -186,9 +192,34 @@
 	}
 }
 
+// LastJoin returns when the last agent that lives became known, or when the balancer
+// started.
+func (n *Node) LastJoin() time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.joined
+}
+
 func (n *Node) rebuild() {
+	members := n.Table.Snapshot().Members
 	n.mu.Lock()
 	blocked := maps.Clone(n.blocked)
+	n.noteAgents(members)
 	n.mu.Unlock()
-	n.routes.Store(BuildRoutes(n.Config.Current(), n.Table.Snapshot().Members, blocked))
+	n.routes.Store(BuildRoutes(n.Config.Current(), members, blocked))
+}
+
+// noteAgents notes which agents live. The caller holds the mutex.
+func (n *Node) noteAgents(members []member.Member) {
+	alive := make(map[uint64]bool, len(n.agents))
+	for _, m := range members {
+		if m.Role != member.Agent || !m.Phase.Alive() {
+			continue
+		}
+		alive[m.Instance] = true
+		if !n.agents[m.Instance] {
+			n.joined = time.Now()
+		}
+	}
+	n.agents = alive
 }
--- a/arbutus-balancer/state/routes.go
+++ b/arbutus-balancer/state/routes.go
@@ -129,6 +129,11 @@
 	return targets
 }
 
+// IsStaffed reports whether an agent is known of each of the route's services.
+func (r *Route) IsStaffed() bool {
+	return !slices.ContainsFunc(r.Targets, func(t Target) bool { return len(t.Agents.Candidates()) == 0 })
+}
+
 // Pick returns the target of the route that the flow's hash stands for.
 func (r *Route) Pick(hash uint64) (*Target, bool) {
 	if r.total == 0 {
--- a/common/coordination/store/seeds.go
+++ b/common/coordination/store/seeds.go
@@ -12,12 +12,13 @@
 )
 
 // seedsInterval is how often the store is asked for registered balancers while a
-// process finds none.
+// process finds none. It is asked first at the start: the seeds that are stated may
+// be the last balancers to come back.
 const seedsInterval = 2 * time.Second
 
 // Seeds are the addresses where a process looks for balancers: those that its
-// settings state, which may be stale, and after a while those that are registered in
-// the store. Its methods may be called by several goroutines.
+// settings state, which may be stale, and those that are registered in the store. Its
+// methods may be called by several goroutines.
 type Seeds struct {
 	client *Client
 	stated []netip.AddrPort
@@ -32,7 +33,7 @@
 
 // NewSeeds returns the seeds of a process that starts now.
 func NewSeeds(client *Client, stated []netip.AddrPort, l log.Logger) *Seeds {
-	return &Seeds{client: client, stated: stated, log: l, now: time.Now, askedAt: time.Now()}
+	return &Seeds{client: client, stated: stated, log: l, now: time.Now}
 }
 
 // Addresses returns the addresses that are known. It does not wait: what the store
