Leave as soon as the fabric has noticed, and end the packet path last

Cause: a balancer that left kept its place for a second after it had closed its sockets (idle HTTP/2 connections), while the fabric sent to it again because fewer than half of its failure domain's balancers were ready. Ruled out: lost packets within the balancers (a trace with debug lines shows each packet forwarded was delivered).

--- a/arbutus-balancer/serve/mode.go
+++ b/arbutus-balancer/serve/mode.go
@@ -34,9 +34,20 @@
 	// SyncBound is how long a balancer is not ready after its start that has not
 	// taken in the members that another balancer knows; 0 for not at all.
 	SyncBound time.Duration
-	// LeaveBound ends a leaving balancer although the fabric still sends; 0
-	// stands for 10 s.
-	LeaveBound time.Duration
+	// Leaving replaces how a balancer leaves.
+	Leaving Leaving
+}
+
+// Leaving is how a balancer leaves.
+type Leaving struct {
+	// Least is how long it stays in any case: until the fabric has noticed.
+	Least time.Duration
+	// Quiet is how long the fabric must have sent nothing.
+	Quiet time.Duration
+	// Bound is how long it stays at most, although the fabric still sends.
+	Bound time.Duration
+	// Check is how often it looks.
+	Check time.Duration
 }
 
 // seeds returns the packet addresses of balancers to ask first, besides the own.
@@ -57,11 +68,11 @@
 	}
 }
 
-func (m Mode) leaveBound() time.Duration {
-	if m.LeaveBound > 0 {
-		return m.LeaveBound
+func (m Mode) leaving() Leaving {
+	if m.Leaving == (Leaving{}) {
+		return Leaving{Quiet: fabricQuiet, Bound: fabricBound, Check: drainCheck}
 	}
-	return fabricBound
+	return m.Leaving
 }
 
 // lost returns the packet addresses of balancers that are held for dead, and of
--- a/arbutus-balancer/serve/server.go
+++ b/arbutus-balancer/serve/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/netip"
@@ -58,7 +59,12 @@
 func (s *Server) Run(ctx context.Context) error {
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	// Calls are answered until the balancer has left: then the packet path goes on
+	// alone, so that it ends last.
+	answering, stopAnswering := context.WithCancel(running)
+	defer stopAnswering()
 	s.peers.Learn(s.announcer.Self())
+	calls := server.Run(answering, s.listener, s.handler())
 	group := tasks.Gather(s.tasks(running)...)
 	s.setPhase(member.Serving)
 	self := s.announcer.Self()
@@ -68,8 +74,10 @@
 		s.leave()
 	case <-group.Ended():
 	}
+	stopAnswering()
+	err := <-calls
 	stop()
-	err := group.Wait()
+	err = errors.Join(err, group.Wait())
 	s.clients.http.CloseIdleConnections()
 	_ = level.Info(s.log).Log("event", "stopped", "name", self.Name)
 	return err
@@ -83,7 +91,6 @@
 		s.announcer.Run(ctx),
 		s.forwarder.Run(ctx),
 		s.watcher.Run(ctx),
-		server.Run(ctx, s.listener, s.handler()),
 	}
 	if !s.mode.ReadOnlyConfig {
 		running = append(running, s.collector.Run(ctx))
@@ -108,12 +115,14 @@
 func (s *Server) leave() {
 	_ = level.Info(s.log).Log("event", "leaving")
 	s.setPhase(member.Leaving)
-	deadline := time.Now().Add(s.mode.leaveBound())
-	for time.Now().Before(deadline) && s.forwarder.Idle(time.Now()) < fabricQuiet {
-		time.Sleep(drainCheck)
+	l := s.mode.leaving()
+	start := time.Now()
+	for time.Since(start) < l.Bound && (time.Since(start) < l.Least || s.forwarder.Idle(time.Now()) < l.Quiet) {
+		time.Sleep(l.Check)
 	}
+	_ = level.Info(s.log).Log("event", "left", "after", time.Since(start), "idle", s.forwarder.Idle(time.Now()))
 	s.setPhase(member.Left)
-	time.Sleep(drainCheck)
+	time.Sleep(l.Check)
 }
 
 // setPhase announces the phase to monitors and peers.
--- a/common/transport/server/server.go
+++ b/common/transport/server/server.go
@@ -17,8 +17,10 @@
 )
 
 const (
-	headerTimeout   = 5 * time.Second
-	shutdownTimeout = 2 * time.Second
+	headerTimeout = 5 * time.Second
+	// shutdownTimeout is how long calls in flight may take at the end. They take
+	// milliseconds; idle HTTP/2 connections would take a second to end by themselves.
+	shutdownTimeout = 250 * time.Millisecond
 )
 
 // Run serves HTTP/1.1 and unencrypted HTTP/2 until ctx ends, then shuts down
