--- a/arbutus-balancer/fabric/placement.go
+++ b/arbutus-balancer/fabric/placement.go
@@ -18,6 +18,9 @@
 	// flowLifetime is how long a flow without packets is remembered. A flow that
 	// is still there afterwards is found by the walk along the agents.
 	flowLifetime = 30 * time.Second
+	// searchLifetime is how long it is remembered which services were asked for a
+	// flow: a packet takes about 5 ms from one agent to the next.
+	searchLifetime = 2 * time.Second
 	// sweepInterval is how often flows that are no longer remembered are removed.
 	sweepInterval = 5 * time.Second
 	// maxFlows bounds the memory: about 200 bytes a flow.
@@ -49,7 +52,15 @@
 		mu     sync.Mutex
 		flows  map[ipv4.FlowKey]*placed
 		agents map[string]*agent
-		swept  time.Time
+		// searches are flows whose holder is looked for.
+		searches map[ipv4.FlowKey]*search
+		swept    time.Time
+	}
+
+	// search has the services whose agents do not hold a flow.
+	search struct {
+		asked []capsule.ServiceKey
+		since time.Time
 	}
 
 	// placed is where a flow is, or where its SYN was sent.
@@ -85,6 +96,8 @@
 		orphans: orphan.New(),
 		flows:   make(map[ipv4.FlowKey]*placed),
 		agents:  make(map[string]*agent),
+
+		searches: make(map[ipv4.FlowKey]*search),
 	}
 }
 
@@ -274,6 +287,7 @@
 	p.orphans.Found(h.Key)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	delete(p.searches, h.Key)
 	now := p.now()
 	a := p.agentOf(c.Name)
 	a.told = load.Load{Flows: int(h.Flows), Requests: int(h.Requests)}
@@ -290,11 +304,30 @@
 	entry.confirmed, entry.usedAt = true, now
 }
 
-// forget removes what is remembered of a flow.
-func (p *placements) forget(key ipv4.FlowKey) {
+// noteUnclaimed notes that no agent of the service holds the flow, and returns all
+// services of which that is known. What was remembered of the flow is forgotten.
+func (p *placements) noteUnclaimed(key ipv4.FlowKey, service capsule.ServiceKey) []capsule.ServiceKey {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.flows, key)
+	s := p.searches[key]
+	if s == nil {
+		s = &search{since: p.now()}
+		if len(p.searches) < maxFlows {
+			p.searches[key] = s
+		}
+	}
+	if !slices.Contains(s.asked, service) {
+		s.asked = append(s.asked, service)
+	}
+	return slices.Clone(s.asked)
+}
+
+// endSearch forgets which services were asked for the flow.
+func (p *placements) endSearch(key ipv4.FlowKey) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.searches, key)
 }
 
 // sweep removes flows that had no packet for long. The caller holds the mutex.
@@ -309,4 +342,9 @@
 			delete(p.flows, key)
 		}
 	}
+	for key, s := range p.searches {
+		if now.Sub(s.since) > searchLifetime {
+			delete(p.searches, key)
+		}
+	}
 }
--- a/arbutus-balancer/fabric/unclaimed.go
+++ b/arbutus-balancer/fabric/unclaimed.go
@@ -1,6 +1,7 @@
 package fabric
 
 import (
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -33,7 +34,6 @@
 	if err != nil || f.placement == nil {
 		return
 	}
-	f.placement.forget(p.Key)
 	routes := f.node.Routes()
 	route, ok := routes.Lookup(p.Key.Service)
 	if !ok {
@@ -44,21 +44,22 @@
 	if !route.IsStaffed() {
 		h.Marks |= capsule.MarkUncertain
 	}
-	if t, ok := nextTarget(routes.Targets(route, hash, otherServices), h.Service); ok {
+	asked := f.placement.noteUnclaimed(p.Key, h.Service)
+	if t, ok := nextTarget(routes.Targets(route, hash, otherServices), asked); ok {
 		f.ask(routes, t, h, p, hash)
 		return
 	}
+	f.placement.endSearch(p.Key)
 	f.endUnclaimed(h, p)
 }
 
-// nextTarget returns the first target with agents after the one with the key.
-func nextTarget(targets []*state.Target, after capsule.ServiceKey) (*state.Target, bool) {
-	passed := false
+// nextTarget returns the first target with agents that has not been asked. The order
+// may have changed since the search began, with the route's weights.
+func nextTarget(targets []*state.Target, asked []capsule.ServiceKey) (*state.Target, bool) {
 	for _, t := range targets {
-		if passed && len(t.Agents.Candidates()) > 0 {
+		if len(t.Agents.Candidates()) > 0 && !slices.Contains(asked, t.Key) {
 			return t, true
 		}
-		passed = passed || t.Key == after
 	}
 	return nil, false
 }
