Pass on packets of unknown flows where there is no backend server

Change: only a backend server that is there is tried; one that is overdue or has withdrawn is looked at.

--- a/arbutus-agent/passthrough/inbound.go
+++ b/arbutus-agent/passthrough/inbound.go
@@ -145,7 +145,7 @@
 // mayTry reports whether the backend server may hold a flow that is not known here.
 func (e *Engine) mayTry(key ipv4.FlowKey, now time.Time) bool {
 	denied, ok := e.denied[key]
-	return !e.server.isFullyKnown(now) && (!ok || now.Sub(denied) > denialLifetime)
+	return e.server.mayHoldUnknown(now) && (!ok || now.Sub(denied) > denialLifetime)
 }
 
 // try hands a packet of an unknown flow to the backend server.
--- a/arbutus-agent/passthrough/outbound.go
+++ b/arbutus-agent/passthrough/outbound.go
@@ -15,7 +15,7 @@
 	answerBound = 150 * time.Millisecond
 	// silenceBound is how long the backend server may leave packets unanswered
 	// before the agent looks whether it lives. Requests take up to 180 ms.
-	silenceBound = 250 * time.Millisecond
+	silenceBound = 200 * time.Millisecond
 )
 
 // HandleOutbound takes in a packet that the backend server hands out. The packet is
--- a/arbutus-agent/passthrough/server.go
+++ b/arbutus-agent/passthrough/server.go
@@ -18,8 +18,13 @@
 	// recheckPause is how long the agent waits before it looks again whether a
 	// silent backend server lives.
 	recheckPause = 500 * time.Millisecond
-	// checkBound is how long the backend server may take to show that it lives.
-	checkBound = 300 * time.Millisecond
+	// checkBound is how long the backend server may take to show that it lives. It
+	// runs on the same machine.
+	checkBound = 200 * time.Millisecond
+	// announcementBound is how long a backend server may take to say something;
+	// announcements come every 1.2 s. One that has never said anything by then is
+	// not there.
+	announcementBound = 2 * time.Second
 	// flowLifetime is how old a flow may become. An agent that has run for longer
 	// knows all flows of its backend server.
 	flowLifetime = 60 * time.Second
@@ -238,7 +243,19 @@
 func (s *Server) isFullyKnown(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.known && !s.predates || now.Sub(s.started) > flowLifetime
+	age := now.Sub(s.started)
+	if !s.known {
+		return age > announcementBound
+	}
+	return s.gone || s.dead || !s.predates || age > flowLifetime
+}
+
+// mayHoldUnknown reports whether the backend server may hold flows that the agent
+// does not know.
+func (s *Server) mayHoldUnknown(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.known && !s.gone && !s.dead && s.predates && now.Sub(s.started) <= flowLifetime
 }
 
 func (s *Server) noteFull(now time.Time) {
@@ -288,11 +305,12 @@
 func (s *Server) needsCheck(now time.Time, bound time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.checking || !s.known || s.gone || now.Sub(s.checkedAt) < recheckPause {
+	if s.checking || !s.known || s.gone && s.dead || now.Sub(s.checkedAt) < recheckPause {
 		return false
 	}
 	unanswered := !s.deliveredAt.IsZero() && now.Sub(s.deliveredAt) > bound
-	return unanswered || !s.silentSince.IsZero() || s.dead
+	overdue := !s.heardAt.IsZero() && now.Sub(s.heardAt) > announcementBound
+	return unanswered || overdue || !s.silentSince.IsZero() || s.dead || s.gone
 }
 
 // startCheck looks whether the backend server lives, and calls onDeath if it has
