Catch up with members after a start; see at once where no backend server runs

Cause: after a power loss, balancers knew all agents only 0.5 s after these served, and agents without a backend server kept flows in doubt for 2 s.

--- a/arbutus-agent/passthrough/serve/server.go
+++ b/arbutus-agent/passthrough/serve/server.go
@@ -42,7 +42,7 @@
 	lifecycleInterval = 25 * time.Millisecond
 	// discoverInterval is how often a backend server is asked that has said
 	// nothing.
-	discoverInterval = 200 * time.Millisecond
+	discoverInterval = 100 * time.Millisecond
 	discoverTimeout  = 300 * time.Millisecond
 	// leaveDelay is how long an agent without requests stays after it has
 	// announced that it leaves, to pass on what still comes to it.
@@ -214,12 +214,8 @@
 	done := make(chan error, 1)
 	go func() {
 		for !s.backend.IsKnown() && wait.For(ctx, lifecycleInterval) {
-			path := s.node.View().Config.Service.HealthPath
-			if path == "" {
-				continue
-			}
 			attempt, cancel := context.WithTimeout(ctx, discoverTimeout)
-			s.backend.Discover(attempt, path)
+			s.backend.Discover(attempt, s.node.View().Config.Service.HealthPath)
 			cancel()
 			wait.For(ctx, discoverInterval)
 		}
--- a/arbutus-agent/passthrough/server.go
+++ b/arbutus-agent/passthrough/server.go
@@ -71,6 +71,9 @@
 		predates bool
 		gone     bool
 		dead     bool
+		// absent tells that nothing runs at the address of a backend server that has
+		// said nothing yet.
+		absent   bool
 		coldRate int
 		// coldUntil is when the backend server is warm; coldUnknown tells that it
 		// has not said since it was last known to be out of use.
@@ -245,7 +248,7 @@
 	defer s.mu.Unlock()
 	age := now.Sub(s.started)
 	if !s.known {
-		return age > announcementBound
+		return s.absent || age > announcementBound
 	}
 	return s.gone || s.dead || !s.predates || age > flowLifetime
 }
@@ -344,9 +347,17 @@
 	return died
 }
 
-// Discover asks a backend server that has said nothing yet whether it takes
-// requests, and treats it as a cold one if it does.
+// Discover looks whether anything runs at the address of a backend server that has
+// said nothing yet, asks it at the path whether it takes requests, and treats it as a
+// cold one if it does. Without a path it only looks.
 func (s *Server) Discover(ctx context.Context, path string) {
+	if err := s.check(ctx); err != nil {
+		s.noteAbsent(err)
+		return
+	}
+	if path == "" {
+		return
+	}
 	if err := s.probe(ctx, path); err != nil {
 		_ = level.Debug(s.log).Log("event", "server_probed", "err", err)
 		return
@@ -360,6 +371,15 @@
 	s.logChange("server_found", s.announced)
 }
 
+func (s *Server) noteAbsent(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.absent {
+		s.absent = true
+		_ = level.Info(s.log).Log("event", "server_absent", "err", err)
+	}
+}
+
 // IsKnown reports whether the backend server has said anything, or was found.
 func (s *Server) IsKnown() bool {
 	s.mu.Lock()
--- a/arbutus-balancer/balancer/gossip.go
+++ b/arbutus-balancer/balancer/gossip.go
@@ -12,6 +12,7 @@
 
 	"arbutusfront.dev/common/coordination/member"
 	controlv1 "arbutusfront.dev/common/protocol/gen/arbutus/control/v1"
+	"arbutusfront.dev/common/transport/wait"
 )
 
 // gossip sends changes to a few peers in each round, and digests to one peer
@@ -146,6 +147,16 @@
 	}
 }
 
+// catchUp compares tables with other balancers, for a while after the start.
+func (p *Peers) catchUp(ctx context.Context) error {
+	for end := p.now().Add(p.catchUpFor); p.now().Before(end) && wait.For(ctx, catchUpInterval); {
+		if b, ok := p.randomPeer(); ok {
+			p.request(pull{from: b, members: true})
+		}
+	}
+	return nil
+}
+
 func (p *Peers) pullRevision(ctx context.Context, from member.Member) {
 	known := p.node.Config.Current()
 	r, err := p.fetch.Revision(ctx, from.Control, known)
--- a/arbutus-balancer/balancer/peers.go
+++ b/arbutus-balancer/balancer/peers.go
@@ -44,7 +44,9 @@
 	// domain is lost.
 	sendsPerRound = 4
 	maxRumors     = 256
-	pullQueue     = 16
+	// catchUpInterval is how often tables are compared after the start.
+	catchUpInterval = 80 * time.Millisecond
+	pullQueue       = 16
 )
 
 type (
@@ -59,6 +61,7 @@
 		pulls     chan pull
 		kick      chan struct{}
 
+		catchUpFor time.Duration
 		// synced tells that another balancer's table has been taken in.
 		synced atomic.Bool
 
@@ -114,6 +117,10 @@
 // WithLogger sets where events are logged.
 func WithLogger(l log.Logger) Option { return func(p *Peers) { p.log = l } }
 
+// WithCatchUp has the balancer compare its table with another one's at short
+// intervals for a while after its start: gossip alone takes several rounds.
+func WithCatchUp(d time.Duration) Option { return func(p *Peers) { p.catchUpFor = d } }
+
 // New returns the peers of the balancer whose state is node.
 func New(node *state.Node, announcer *heartbeat.Announcer, opts ...Option) *Peers {
 	p := &Peers{
@@ -137,7 +144,7 @@
 // Run gossips, detects failures and pulls what is missed until ctx ends, and
 // reports its end on the channel.
 func (p *Peers) Run(ctx context.Context) <-chan error {
-	tasks := []func(context.Context) error{p.gossip, p.detect, p.pullMissed, p.forget}
+	tasks := []func(context.Context) error{p.gossip, p.detect, p.pullMissed, p.forget, p.catchUp}
 	ended := make(chan error, len(tasks))
 	for _, task := range tasks {
 		go func() { ended <- task(ctx) }()
--- a/arbutus-balancer/serve/mode.go
+++ b/arbutus-balancer/serve/mode.go
@@ -34,6 +34,9 @@
 	// SyncBound is how long a balancer is not ready after its start that has not
 	// taken in the members that another balancer knows; 0 for not at all.
 	SyncBound time.Duration
+	// CatchUp is how long after its start the balancer compares members with others
+	// at short intervals; 0 for not at all.
+	CatchUp time.Duration
 	// Leaving replaces how a balancer leaves.
 	Leaving Leaving
 }
--- a/arbutus-balancer/serve/providers.go
+++ b/arbutus-balancer/serve/providers.go
@@ -106,12 +106,15 @@
 	return c
 }
 
-func providePeers(n *state.Node, a *heartbeat.Announcer, out *sender, c clients, l log.Logger) *balancer.Peers {
+func providePeers(
+	n *state.Node, a *heartbeat.Announcer, out *sender, c clients, l log.Logger, m Mode,
+) *balancer.Peers {
 	return balancer.New(
 		n, a,
 		balancer.WithSend(out.send),
 		balancer.WithFetch(balancer.Fetch{Revision: c.peer.Revision, Members: c.peer.Members}),
 		balancer.WithLogger(l),
+		balancer.WithCatchUp(m.CatchUp),
 	)
 }
 
--- a/arbutus-balancer/serve/wire_gen.go
+++ b/arbutus-balancer/serve/wire_gen.go
@@ -22,7 +22,7 @@
 	serveSender := provideSender()
 	announcer := provideAnnouncer(member, s, node, serveSender, m)
 	serveClients := provideClients(s, n, m)
-	peers := providePeers(node, announcer, serveSender, serveClients, l)
+	peers := providePeers(node, announcer, serveSender, serveClients, l, m)
 	key, err := provideKey(s)
 	if err != nil {
 		return nil, nil, err
