--- /dev/null
+++ b/arbutus-agent/passthrough/engine_test.go
@@ -0,0 +1,416 @@
+package passthrough
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"arbutusfront.dev/arbutus-agent/state"
+	"arbutusfront.dev/common/coordination/config"
+	"arbutusfront.dev/common/coordination/member"
+	"arbutusfront.dev/common/coordination/peer"
+	"arbutusfront.dev/common/protocol/capsule"
+	"arbutusfront.dev/common/protocol/frame"
+	"arbutusfront.dev/common/protocol/ipv4"
+)
+
+const (
+	callerNumber = 1000
+	serverNumber = 5000
+)
+
+var (
+	balancerAddress = netip.MustParseAddrPort("10.0.0.9:7000")
+	endpoint        = netip.MustParseAddrPort("10.80.0.1:80")
+	errDead         = errors.New("connection refused")
+)
+
+type (
+	// forwarded is a datagram to another process.
+	forwarded struct {
+		to   netip.AddrPort
+		kind capsule.Kind
+		h    capsule.Header
+		held capsule.Held
+	}
+
+	// rig is an engine with what it sent.
+	rig struct {
+		engine    *Engine
+		server    *Server
+		node      *state.Node
+		self      member.Member
+		now       time.Time
+		delivered [][]byte
+		replied   []ipv4.Packet
+		forwarded []forwarded
+		opened    []ipv4.FlowKey
+		alive     error
+	}
+)
+
+func agentMember(name, domain string, i int) member.Member {
+	return member.Member{
+		Name: name, Role: member.Agent, Domain: domain, Service: "desk", Instance: uint64(100 + i), Version: 1,
+		Phase: member.Serving, Packet: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7002),
+	}
+}
+
+// newRig returns the engine of agent a-1 of three, whose backend server has said
+// nothing.
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	r := &rig{now: time.Unix(1_700_000_000, 0), self: agentMember("a-1", "north", 1)}
+	r.node = state.NewNode(r.self)
+	r.server = NewServer(func(context.Context) error { return r.alive })
+	r.server.now = func() time.Time { return r.now }
+	r.server.started = r.now
+	r.adopt(1, config.DomainIn)
+	r.engine = New(
+		r.node, r.server, frame.IPv4(),
+		WithIdentity(func() member.Member { return r.self }),
+		WithDeliver(func(b []byte) error { r.delivered = append(r.delivered, slices.Clone(b)); return nil }),
+		WithReply(func(_ netip.AddrPort, b []byte) error {
+			p, err := ipv4.Parse(slices.Clone(b))
+			r.replied = append(r.replied, p)
+			return err
+		}),
+		WithForward(r.forward),
+		WithDirectoryUpdates(func(k ipv4.FlowKey) { r.opened = append(r.opened, k) }, func(ipv4.FlowKey) {}),
+	)
+	r.engine.now = r.server.now
+	return r
+}
+
+func (r *rig) adopt(revision uint64, north config.DomainState) {
+	r.node.Adopt(peer.View{
+		Revision: revision,
+		Config: config.View{
+			Service:   config.Service{Name: "desk", BackendClass: config.BackendClass{Connections: 100}},
+			Domains:   []config.Domain{{Name: "north", State: north}, {Name: "south", State: config.DomainIn}},
+			DomainOut: config.KeepFlows,
+		},
+		Members: []member.Member{r.self, agentMember("a-2", "south", 2), agentMember("a-3", "south", 3)},
+	})
+}
+
+func (r *rig) forward(b []byte, to netip.AddrPort) error {
+	kind, err := capsule.KindOf(b)
+	if err != nil {
+		return err
+	}
+	f := forwarded{to: to, kind: kind}
+	if kind == capsule.KindHeld {
+		f.held, err = capsule.ParseHeld(b)
+	} else {
+		f.h, _, err = capsule.ParsePacket(b, nil)
+	}
+	r.forwarded = append(r.forwarded, f)
+	return err
+}
+
+// announce has the backend server say something.
+func (r *rig) announce(change func(*Announcement)) {
+	a := Announcement{ID: "s-1", Born: r.now.UnixMilli(), Sequence: 1, Slots: 4}
+	if change != nil {
+		change(&a)
+	}
+	r.server.Announce(a)
+}
+
+func segment(port uint16, flags ipv4.Flags, sequence, acknowledgment uint32, payload int) ipv4.Segment {
+	return ipv4.Segment{
+		Key:   ipv4.FlowKey{Caller: netip.AddrPortFrom(netip.MustParseAddr("192.0.2.1"), port), Service: endpoint},
+		Flags: flags, Sequence: sequence, Acknowledgment: acknowledgment, Payload: make([]byte, payload),
+	}
+}
+
+// take hands the engine a caller's packet, as a balancer sends it.
+func (r *rig) take(s ipv4.Segment, marks capsule.Marks, visited ...uint64) {
+	r.engine.HandlePacket(balancerAddress, capsule.Header{
+		Revision: 1, Target: r.self.Instance, Service: r.self.ServiceKey(), Origin: balancerAddress, Marks: marks,
+		Visited: visited,
+	}, ipv4.Build(s))
+}
+
+// answer hands the engine a packet of the backend server.
+func (r *rig) answer(s ipv4.Segment) {
+	s.FromService = true
+	r.engine.HandleOutbound(ipv4.Build(s))
+}
+
+// giveBack has the backend server return a caller's packet.
+func (r *rig) giveBack(s ipv4.Segment) {
+	b := ipv4.Build(s)
+	ipv4.Mark(b)
+	r.engine.HandleOutbound(b)
+}
+
+// open opens a flow at the backend server.
+func (r *rig) open(port uint16) {
+	r.take(segment(port, ipv4.FlagSYN, callerNumber, 0, 0), capsule.MarkAsk)
+	r.answer(segment(port, ipv4.FlagSYN|ipv4.FlagACK, serverNumber, callerNumber+1, 0))
+	r.take(segment(port, ipv4.FlagACK, callerNumber+1, serverNumber+1, 0), 0)
+}
+
+func (r *rig) clear() { r.delivered, r.replied, r.forwarded = nil, nil, nil }
+
+func TestOpensFlow(t *testing.T) {
+	g, r := NewWithT(t), newRig(t)
+	r.announce(nil)
+	r.open(1)
+	g.Expect(r.delivered).To(HaveLen(2))
+	g.Expect(r.replied).To(HaveLen(1))
+	g.Expect(r.opened).To(HaveLen(1))
+	g.Expect(r.forwarded).To(HaveLen(1), "the balancer is told who holds the flow")
+	g.Expect(r.forwarded[0].held).To(Equal(capsule.Held{
+		Key: r.opened[0], Instance: r.self.Instance, Flows: 1, Slots: 4,
+	}))
+}
+
+// TestAnotherServersAnswerAccepted has the caller accept the answer of another backend
+// server to a copy of its SYN: the packet walks on, and nothing is reset.
+func TestAnotherServersAnswerAccepted(t *testing.T) {
+	g, r := NewWithT(t), newRig(t)
+	r.announce(nil)
+	r.take(segment(1, ipv4.FlagSYN, callerNumber, 0, 0), 0)
+	r.answer(segment(1, ipv4.FlagSYN|ipv4.FlagACK, serverNumber, callerNumber+1, 0))
+	r.clear()
+	r.take(segment(1, ipv4.FlagACK, callerNumber+1, 77_000_000, 0), 0)
+	g.Expect(r.delivered).To(BeEmpty())
+	g.Expect(r.replied).To(BeEmpty())
+	g.Expect(r.forwarded).To(HaveLen(1))
+	g.Expect(r.forwarded[0].kind).To(Equal(capsule.KindPacket))
+	g.Expect(r.forwarded[0].h.Visited).To(Equal([]uint64{r.self.Instance}))
+}
+
+func TestPassesOnWhatItMayNotTake(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		setUp func(r *rig)
+	}{
+		{"nothing known of the backend server", func(*rig) {}},
+		{"draining", func(r *rig) { r.announce(func(a *Announcement) { a.Draining = true }) }},
+		{"withdrawn", func(r *rig) { r.announce(nil); r.server.Withdraw("s-1") }},
+		{"failure domain out", func(r *rig) { r.announce(nil); r.adopt(2, config.DomainOut) }},
+		{"leaving", func(r *rig) { r.announce(nil); r.engine.Leave() }},
+		{"dead", func(r *rig) { r.announce(nil); r.server.noteCheck(errDead) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g, r := NewWithT(t), newRig(t)
+			c.setUp(r)
+			r.take(segment(1, ipv4.FlagSYN, callerNumber, 0, 0), 0)
+			g.Expect(r.delivered).To(BeEmpty())
+			g.Expect(r.forwarded).To(HaveLen(1))
+			r.clear()
+			r.take(segment(2, ipv4.FlagSYN, callerNumber, 0, 0), 0, 102, 103)
+			g.Expect(r.replied).To(HaveLen(1), "the last candidate refuses at once")
+			g.Expect(r.replied[0].Flags().Has(ipv4.FlagRST)).To(BeTrue())
+		})
+	}
+}
+
+// TestDomainOutKeepsFlows has flows of a failure domain that is taken out go on.
+func TestDomainOutKeepsFlows(t *testing.T) {
+	g, r := NewWithT(t), newRig(t)
+	r.announce(nil)
+	r.open(1)
+	r.adopt(2, config.DomainOut)
+	r.clear()
+	r.take(segment(1, ipv4.FlagACK, callerNumber+1, serverNumber+1, 100), 0)
+	g.Expect(r.delivered).To(HaveLen(1))
+	g.Expect(r.replied).To(BeEmpty())
+}
+
+// TestColdRate bounds the flows of a cold backend server in any second, and only if the
+// service states a rate.
+func TestColdRate(t *testing.T) {
+	for _, c := range []struct{ rate, want int }{{3, 3}, {0, 20}} {
+		g, r := NewWithT(t), newRig(t)
+		r.server.Configure(config.ColdStart{NewPerSecond: c.rate})
+		r.announce(func(a *Announcement) { a.Cold = time.Minute })
+		for i := range 20 {
+			r.now = r.now.Add(10 * time.Millisecond)
+			r.take(segment(uint16(1+i), ipv4.FlagSYN, callerNumber, 0, 0), 0)
+		}
+		g.Expect(r.delivered).To(HaveLen(c.want))
+		r.now = r.now.Add(time.Second)
+		r.take(segment(99, ipv4.FlagSYN, callerNumber, 0, 0), 0)
+		g.Expect(r.delivered).To(HaveLen(c.want + 1))
+	}
+}
+
+// TestRestartedAgentTriesOnce has an agent that started after its backend server hand it
+// packets of unknown flows: what it answers is carried, what it gives back walks on and
+// is not tried again.
+func TestRestartedAgentTriesOnce(t *testing.T) {
+	g, r := NewWithT(t), newRig(t)
+	r.announce(func(a *Announcement) { a.Born -= time.Hour.Milliseconds(); a.Sequence = 900 })
+	held, lost := segment(1, ipv4.FlagACK, 2000, 6000, 50), segment(2, ipv4.FlagACK, 2000, 6000, 50)
+	r.take(held, capsule.MarkAsk)
+	g.Expect(r.delivered).To(HaveLen(1))
+	r.answer(segment(1, ipv4.FlagACK, 6000, 2050, 0))
+	g.Expect(r.opened).To(HaveLen(1))
+	g.Expect(r.forwarded).To(HaveLen(1), "the balancer is told")
+	r.clear()
+	r.take(lost, capsule.MarkAsk)
+	r.giveBack(lost)
+	g.Expect(r.delivered).To(HaveLen(1))
+	g.Expect(r.forwarded).To(HaveLen(1))
+	g.Expect(r.forwarded[0].h.Marks.Has(capsule.MarkUncertain)).To(BeFalse())
+	r.clear()
+	r.take(lost, capsule.MarkAsk)
+	g.Expect(r.delivered).To(BeEmpty())
+}
+
+// TestNoServerTriesNothing is an agent whose backend server has left for good. It once
+// handed packets of unknown flows to nobody, so that callers waited until their deadline
+// (hunt-ac43-27 of phellos-lb).
+func TestNoServerTriesNothing(t *testing.T) {
+	g, r := NewWithT(t), newRig(t)
+	r.alive = errDead
+	r.server.Discover(context.Background(), "/health")
+	r.take(segment(1, ipv4.FlagACK, 2000, 6000, 50), capsule.MarkAsk)
+	g.Expect(r.delivered).To(BeEmpty())
+	g.Expect(r.forwarded).To(HaveLen(1))
+	g.Expect(r.forwarded[0].h.Marks.Has(capsule.MarkUncertain)).To(BeFalse(), "nothing runs there")
+}
+
+// TestGivesBackUnclaimed ends the walk at the balancer that took the packet first.
+func TestGivesBackUnclaimed(t *testing.T) {
+	g, r := NewWithT(t), newRig(t)
+	r.announce(nil)
+	r.take(segment(1, ipv4.FlagACK, 2000, 6000, 50), 0, 102, 103)
+	g.Expect(r.forwarded).To(HaveLen(1))
+	g.Expect(r.forwarded[0].kind).To(Equal(capsule.KindUnclaimed))
+	g.Expect(r.forwarded[0].to).To(Equal(balancerAddress))
+	g.Expect(r.replied).To(BeEmpty())
+}
+
+// TestServerLostFlow resets a flow at once that its backend server no longer holds.
+func TestServerLostFlow(t *testing.T) {
+	g, r := NewWithT(t), newRig(t)
+	r.announce(nil)
+	r.open(1)
+	r.clear()
+	data := segment(1, ipv4.FlagACK, callerNumber+1, serverNumber+1, 100)
+	r.take(data, 0)
+	r.giveBack(data)
+	g.Expect(r.replied).To(HaveLen(1))
+	g.Expect(r.replied[0].Flags().Has(ipv4.FlagRST)).To(BeTrue())
+	g.Expect(r.replied[0].Sequence()).To(Equal(uint32(serverNumber + 1)))
+}
+
+// TestUnansweredSYNIsOfferedElsewhere looks after a backend server that went silent.
+func TestUnansweredSYNIsOfferedElsewhere(t *testing.T) {
+	g, r := NewWithT(t), newRig(t)
+	r.announce(nil)
+	r.take(segment(1, ipv4.FlagSYN, callerNumber, 0, 0), 0)
+	r.now = r.now.Add(answerBound - time.Millisecond)
+	r.engine.watch()
+	g.Expect(r.forwarded).To(BeEmpty())
+	r.now = r.now.Add(2 * time.Millisecond)
+	r.engine.watch()
+	g.Expect(r.forwarded).To(HaveLen(1))
+	g.Expect(r.server.State()).To(Equal("server_silent"))
+}
+
+// TestDeadServerTellsCallers resets the flows of a backend server that is dead, with the
+// number that their callers take.
+func TestDeadServerTellsCallers(t *testing.T) {
+	g, r := NewWithT(t), newRig(t)
+	r.announce(nil)
+	r.open(1)
+	r.open(2)
+	r.clear()
+	r.engine.handleDeath()
+	g.Expect(r.replied).To(HaveLen(2))
+	for _, p := range r.replied {
+		g.Expect(p.Flags()).To(Equal(ipv4.FlagRST))
+		g.Expect(p.Sequence()).To(Equal(uint32(serverNumber + 1)))
+	}
+	g.Expect(r.engine.Load().Flows).To(BeZero())
+}
+
+// TestHolderAway waits for the next run of an agent that has died, and gives its flows
+// up afterwards.
+func TestHolderAway(t *testing.T) {
+	g, r := NewWithT(t), newRig(t)
+	r.announce(nil)
+	data := segment(1, ipv4.FlagACK, 2000, 6000, 50)
+	r.engine.Register(data.Key, 102)
+	r.node.Learn(agentMember("a-2", "south", 2).WithDeath())
+	r.engine.now = time.Now
+	r.take(data, 0)
+	g.Expect(r.forwarded).To(BeEmpty())
+	g.Expect(r.replied).To(BeEmpty())
+	r.engine.now = func() time.Time { return time.Now().Add(deadSuccessorBound) }
+	r.take(data, 0)
+	g.Expect(r.replied).To(HaveLen(1))
+}
+
+// TestSuccessorHolds sends a flow of an agent that has restarted to its next run.
+func TestSuccessorHolds(t *testing.T) {
+	g, r := NewWithT(t), newRig(t)
+	r.announce(nil)
+	data := segment(1, ipv4.FlagACK, 2000, 6000, 50)
+	r.engine.Register(data.Key, 102)
+	r.node.Learn(agentMember("a-2", "south", 2).WithPhase(member.Left))
+	next := agentMember("a-2", "south", 2)
+	next.Instance = 500
+	r.node.Learn(next)
+	r.take(data, 0)
+	g.Expect(r.forwarded).To(HaveLen(1))
+	g.Expect(r.forwarded[0].h.Target).To(Equal(uint64(500)))
+	g.Expect(r.forwarded[0].h.Marks.Has(capsule.MarkNamed)).To(BeTrue())
+}
+
+// TestAnswerNeverInbound drops an answer to a SYN that comes from a caller's side.
+func TestAnswerNeverInbound(t *testing.T) {
+	g, r := NewWithT(t), newRig(t)
+	r.announce(func(a *Announcement) { a.Born = 0; a.Sequence = 900 })
+	r.take(segment(1, ipv4.FlagSYN|ipv4.FlagACK, 1, 2, 0), 0)
+	g.Expect(r.delivered).To(BeEmpty())
+	g.Expect(r.forwarded).To(BeEmpty())
+}
+
+// TestAnnouncements takes in the latest run of the backend server only.
+func TestAnnouncements(t *testing.T) {
+	born := time.Unix(1_700_000_000, 0).UnixMilli()
+	for _, c := range []struct {
+		name string
+		a    Announcement
+		want bool
+	}{
+		{"later", Announcement{ID: "s-1", Born: born, Sequence: 8}, true},
+		{"overtaken", Announcement{ID: "s-1", Born: born, Sequence: 6}, false},
+		{"repeated", Announcement{ID: "s-1", Born: born, Sequence: 7}, false},
+		{"next run with another id", Announcement{ID: "s-2", Born: born + 1, Sequence: 1}, true},
+		{"next run with the same id", Announcement{ID: "s-1", Born: born + 1, Sequence: 1}, true},
+		{"earlier run, held up", Announcement{ID: "s-0", Born: born - 1, Sequence: 99}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g, r := NewWithT(t), newRig(t)
+			r.server.Announce(Announcement{ID: "s-1", Born: born, Sequence: 7})
+			g.Expect(r.server.Announce(c.a)).To(Equal(c.want))
+		})
+	}
+}
+
+func BenchmarkCarry(b *testing.B) {
+	r := newRig(new(testing.T))
+	r.announce(nil)
+	r.open(1)
+	r.engine.deliver = func([]byte) error { return nil }
+	packet := ipv4.Build(segment(1, ipv4.FlagACK, callerNumber+1, serverNumber+1, 1000))
+	h := capsule.Header{Revision: 1, Target: r.self.Instance, Service: r.self.ServiceKey(), Origin: balancerAddress}
+	b.ReportAllocs()
+	for b.Loop() {
+		r.engine.HandlePacket(balancerAddress, h, packet)
+	}
+}
--- a/arbutus-lab/sessions/minitcp_test.go
+++ b/arbutus-lab/sessions/minitcp_test.go
@@ -43,6 +43,8 @@
 	sendNext uint32
 	acked    uint32
 	recvNext uint32
+	// opened is the peer's first number, at a server's end.
+	opened  uint32
 	pending  []byte
 	peerDone bool
 	err      error
--- a/common/protocol/frame/frame.go
+++ b/common/protocol/frame/frame.go
@@ -59,7 +59,8 @@
 	return f.Flags&(ipv4.FlagSYN|ipv4.FlagACK|ipv4.FlagRST) == ipv4.FlagSYN|ipv4.FlagACK
 }
 
-// IPv4 returns the codec of IPv4 TCP packets. No backend server returns these.
+// IPv4 returns the codec of IPv4 TCP packets. A backend server gives a packet back
+// with the reserved bit of its IP header set, and the header's checksum as it was.
 func IPv4() Codec {
 	return Codec{
 		Parse: func(b []byte) (Frame, error) {
@@ -70,6 +71,9 @@
 			return fromIPv4(p, p.Key()), nil
 		},
 		ParseOutbound: func(b []byte) (Frame, error) {
+			if ipv4.IsMarked(b) {
+				return parseReturned(b)
+			}
 			p, err := ipv4.Parse(b)
 			if err != nil {
 				return Frame{}, err
@@ -82,6 +86,19 @@
 	}
 }
 
+// parseReturned reads a packet that a backend server gave back, and takes off the
+// mark, which the checksum does not cover.
+func parseReturned(b []byte) (Frame, error) {
+	ipv4.Unmark(b)
+	p, err := ipv4.Parse(b)
+	if err != nil {
+		return Frame{}, err
+	}
+	f := fromIPv4(p, p.Key())
+	f.Returned = true
+	return f, nil
+}
+
 // resetIPv4 follows RFC 9293 section 3.10.7.1.
 func resetIPv4(f Frame) []byte {
 	if f.Flags.Has(ipv4.FlagRST) {
