--- a/arbutus-balancer/fabric/forwarder.go
+++ b/arbutus-balancer/fabric/forwarder.go
@@ -242,7 +242,7 @@
 		if p.IsSYN() {
 			return f.placement.place(route, p, hash)
 		}
-		if d, ok := f.placement.locate(routes, route, p, hash); ok {
+		if d, ok := f.placement.locate(routes, p); ok {
 			return d, true
 		}
 	}
--- a/arbutus-balancer/fabric/placement.go
+++ b/arbutus-balancer/fabric/placement.go
@@ -242,44 +242,33 @@
 }
 
 // locate returns the agent that holds the packet's flow, as far as remembered.
-func (p *placements) locate(
-	routes *state.Routes, route *state.Route, f frame.Frame, hash uint64,
-) (destination, bool) {
+func (p *placements) locate(routes *state.Routes, f frame.Frame) (destination, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	entry := p.flows[f.Key]
 	if entry == nil {
 		return destination{}, false
 	}
-	for _, t := range routes.Targets(route, hash, otherServices) {
-		if t.Key != entry.service {
-			continue
-		}
-		c, alive := t.Agents.ByName(entry.agent)
-		if !alive {
-			break
-		}
-		entry.usedAt = p.now()
-		d := destination{target: t, agent: c}
-		if c.Instance != entry.instance || !entry.confirmed {
-			d.marks = capsule.MarkAsk | capsule.MarkNamed
-		}
-		return d, true
+	t, known := routes.Target(entry.service)
+	if !known {
+		return destination{}, false
+	}
+	c, alive := t.Agents.ByName(entry.agent)
+	if !alive {
+		return destination{}, false
 	}
-	return destination{}, false
+	entry.usedAt = p.now()
+	d := destination{target: t, agent: c}
+	if c.Instance != entry.instance || !entry.confirmed {
+		d.marks = capsule.MarkAsk | capsule.MarkNamed
+	}
+	return d, true
 }
 
 // hold notes an agent's word that it holds a flow, and its load.
 func (p *placements) hold(routes *state.Routes, h capsule.Held) {
-	route, ok := routes.Lookup(h.Key.Service)
-	if !ok {
-		return
-	}
-	for _, t := range routes.Targets(route, placement.FlowHash(h.Key), otherServices) {
-		if c, ok := t.Agents.ByInstance(h.Instance); ok {
-			p.note(t, c, h)
-			return
-		}
+	if t, c, ok := routes.Agent(h.Instance); ok {
+		p.note(t, c, h)
 	}
 }
 
--- a/arbutus-balancer/state/node.go
+++ b/arbutus-balancer/state/node.go
@@ -77,7 +77,7 @@
 	go func() {
 		for {
 			members, revised := n.Table.Changed(), n.Config.Changed()
-			n.rebuild()
+			n.Rebuild()
 			select {
 			case <-ctx.Done():
 				done <- nil
@@ -200,7 +200,8 @@
 	return n.joined
 }
 
-func (n *Node) rebuild() {
+// Rebuild makes the routes anew at once. Run does so after each change.
+func (n *Node) Rebuild() {
 	members := n.Table.Snapshot().Members
 	n.mu.Lock()
 	blocked := maps.Clone(n.blocked)
--- a/arbutus-balancer/state/routes.go
+++ b/arbutus-balancer/state/routes.go
@@ -46,6 +46,9 @@
 		Revision   uint64
 		byEndpoint map[netip.AddrPort]*Route
 		targets    map[string]Target
+		// byKey has each service, byInstance that of each agent.
+		byKey      map[capsule.ServiceKey]*Target
+		byInstance map[uint64]*Target
 	}
 )
 
@@ -67,13 +70,15 @@
 		KeepsFlows: r.Config.Deployment.KeepsFlows(),
 	}
 	routes.targets = make(map[string]Target, len(r.Config.Services))
+	routes.byKey = make(map[capsule.ServiceKey]*Target, len(r.Config.Services))
+	routes.byInstance = make(map[uint64]*Target, len(members))
 	for _, s := range r.Config.Services {
-		routes.targets[s.Name] = Target{
+		routes.addTarget(Target{
 			Service: s.Name,
 			Key:     capsule.KeyOf(s.Name),
 			Agents:  placement.FromMembers(byService[s.Name], policy),
 			Slots:   s.BackendClass.Slots,
-		}
+		})
 	}
 	for _, route := range r.Config.AllRoutes() {
 		routes.byEndpoint[route.Endpoint()] = routes.build(route)
@@ -81,6 +86,30 @@
 	return routes
 }
 
+func (r *Routes) addTarget(t Target) {
+	r.targets[t.Service] = t
+	r.byKey[t.Key] = &t
+	for _, c := range t.Agents.Candidates() {
+		r.byInstance[c.Instance] = &t
+	}
+}
+
+// Target returns the service with the key.
+func (r *Routes) Target(key capsule.ServiceKey) (*Target, bool) {
+	t, ok := r.byKey[key]
+	return t, ok
+}
+
+// Agent returns the agent with the instance, and its service.
+func (r *Routes) Agent(instance uint64) (*Target, *placement.Candidate, bool) {
+	t, ok := r.byInstance[instance]
+	if !ok {
+		return nil, nil, false
+	}
+	c, ok := t.Agents.ByInstance(instance)
+	return t, c, ok
+}
+
 func (r *Routes) build(route config.Route) *Route {
 	built := &Route{Name: route.Name, Targets: make([]Target, 0, len(route.Targets))}
 	for _, t := range route.Targets {
