--- a/arbutus-balancer/serve/providers.go
+++ b/arbutus-balancer/serve/providers.go
@@ -155,8 +155,8 @@
 	return store.New(c.store, n, self, l, m.Watch...)
 }
 
-func provideRegistrar(c clients, self member.Member, l log.Logger) *store.Registrar {
-	return store.NewRegistrar(c.store, self, l)
+func provideRegistrar(c clients, n *state.Node, self member.Member, l log.Logger) *store.Registrar {
+	return store.NewRegistrar(c.store, n, self, l)
 }
 
 func provideCollector(c clients, n *state.Node, self member.Member, l log.Logger) *store.Collector {
--- a/arbutus-balancer/serve/wire_gen.go
+++ b/arbutus-balancer/serve/wire_gen.go
@@ -40,7 +40,7 @@
 	}
 	watcher := provideWatcher(serveClients, node, member, l, m)
 	collector := provideCollector(serveClients, node, member, l)
-	registrar := provideRegistrar(serveClients, member, l)
+	registrar := provideRegistrar(serveClients, node, member, l)
 	server := provideOperator(node, peers, key, serveClients, announcer)
 	listener, err := provideListener(s, n)
 	if err != nil {
--- a/arbutus-balancer/store/registrar.go
+++ b/arbutus-balancer/store/registrar.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"arbutusfront.dev/arbutus-balancer/state"
 	"arbutusfront.dev/common/coordination/member"
 	"arbutusfront.dev/common/coordination/store"
 	"arbutusfront.dev/common/transport/wait"
@@ -17,20 +18,26 @@
 	// its lease; it is renewed registrationRenewals times within that.
 	registrationTTL      = 15 * time.Second
 	registrationRenewals = 3
+	// registeredPerDomain is how many balancers of each failure domain register: a
+	// process that knows none needs to find any.
+	registeredPerDomain = 2
+	registrationTask    = "register"
 	// registrationDelay lets a start of everything read configurations first.
 	registrationDelay = 500 * time.Millisecond
 )
 
-// Registrar keeps the balancer's packet address in the store under a lease.
+// Registrar keeps the balancer's packet address in the store under a lease, if it is
+// among the first of its failure domain.
 type Registrar struct {
 	client *store.Client
+	node   *state.Node
 	self   member.Member
 	log    log.Logger
 }
 
 // NewRegistrar returns a registrar of the balancer.
-func NewRegistrar(client *store.Client, self member.Member, logger log.Logger) *Registrar {
-	return &Registrar{client: client, self: self, log: logger}
+func NewRegistrar(client *store.Client, node *state.Node, self member.Member, logger log.Logger) *Registrar {
+	return &Registrar{client: client, node: node, self: self, log: logger}
 }
 
 // Run keeps the registration until ctx ends, and reports its end on the channel.
@@ -48,6 +55,10 @@
 	failures := 0
 	held := false
 	for pause := registrationDelay; wait.For(ctx, pause); {
+		if !r.node.Table.Snapshot().Elected(r.self, registrationTask, registeredPerDomain) {
+			pause = registrationTTL / registrationRenewals
+			continue
+		}
 		now, err := lease.Renew(ctx)
 		if err != nil {
 			pause = retry.After(failures)
