--- a/arbutus-agent/agent/peers.go
+++ b/arbutus-agent/agent/peers.go
@@ -69,7 +69,9 @@
 		send      func(to netip.AddrPort, m *controlv1.Datagram)
 		directory Directory
 		gather    time.Duration
-		log       log.Logger
+		// rank returns the first candidates for a flow's hash.
+		rank func(s *placement.Service, hash uint64, limit int) []placement.Candidate
+		log  log.Logger
 
 		mu    sync.Mutex
 		tasks map[uint64]*task
@@ -100,11 +102,17 @@
 // WithGather sets how long updates are gathered for one message.
 func WithGather(d time.Duration) Option { return func(p *Peers) { p.gather = d } }
 
+// WithSettledKeepers has agents that have taken no flows yet told last.
+func WithSettledKeepers() Option {
+	return func(p *Peers) { p.rank = (*placement.Service).RankedSettled }
+}
+
 // New returns the peers of an agent.
 func New(node *state.Node, opts ...Option) *Peers {
 	p := &Peers{
 		node:   node,
 		gather: gatherPause,
+		rank:   (*placement.Service).Ranked,
 		log:    log.NewNopLogger(),
 		tasks:  make(map[uint64]*task),
 		told:   make(map[ipv4.FlowKey][]uint64),
@@ -252,7 +260,7 @@
 	defer p.mu.Unlock()
 	before := p.told[key]
 	after := make([]uint64, 0, keepers)
-	for _, c := range v.Agents.Ranked(placement.FlowHash(key), keepers+1) {
+	for _, c := range p.rank(v.Agents, placement.FlowHash(key), keepers+1) {
 		if c.Instance == self || len(after) == keepers {
 			continue
 		}
--- a/arbutus-agent/passthrough/engine_test.go
+++ b/arbutus-agent/passthrough/engine_test.go
@@ -414,3 +414,36 @@
 		r.engine.HandlePacket(balancerAddress, h, packet)
 	}
 }
+
+// TestLongWalkIsUncertain ends the walk at its bound although candidates are left: the
+// flow may be at one of them (scale-1 of avisos-vial-grown).
+func TestLongWalkIsUncertain(t *testing.T) {
+	g, r := NewWithT(t), newRig(t)
+	r.announce(nil)
+	visited := make([]uint64, capsule.MaxVisited-1)
+	for i := range visited {
+		visited[i] = uint64(9000 + i)
+	}
+	r.take(segment(1, ipv4.FlagACK, 2000, 6000, 50), 0, visited...)
+	g.Expect(r.forwarded).To(HaveLen(1))
+	g.Expect(r.forwarded[0].kind).To(Equal(capsule.KindUnclaimed))
+	g.Expect(r.forwarded[0].h.Marks.Has(capsule.MarkUncertain)).To(BeTrue())
+}
+
+// TestJoiningAgentsAreAskedLast has a packet of an unknown flow go to agents first that
+// have taken flows.
+func TestJoiningAgentsAreAskedLast(t *testing.T) {
+	g, r := NewWithT(t), newRig(t)
+	r.announce(nil)
+	for i := range 40 {
+		joining := agentMember("new-"+string(rune('a'+i)), "south", 100+i)
+		joining.Phase = member.Joining
+		r.node.Learn(joining)
+	}
+	for port := range uint16(20) {
+		r.clear()
+		r.take(segment(port, ipv4.FlagACK, 2000, 6000, 50), 0)
+		g.Expect(r.forwarded).To(HaveLen(1))
+		g.Expect(r.forwarded[0].h.Target).To(BeNumerically("<", 200))
+	}
+}
--- a/arbutus-agent/passthrough/inbound.go
+++ b/arbutus-agent/passthrough/inbound.go
@@ -184,11 +184,13 @@
 			return
 		}
 	}
-	if len(h.Visited) < capsule.MaxVisited {
-		if c, ok := v.Agents.First(placement.FlowHash(p.Key), h.Visited); ok {
+	if c, ok := v.Agents.FirstSettled(placement.FlowHash(p.Key), h.Visited); ok {
+		if len(h.Visited) < capsule.MaxVisited {
 			e.passOn(v, c, h, p)
 			return
 		}
+		// An agent that was not visited may hold the flow.
+		h.Marks |= capsule.MarkUncertain
 	}
 	e.giveBack(h, p)
 }
--- a/arbutus-agent/passthrough/serve/providers.go
+++ b/arbutus-agent/passthrough/serve/providers.go
@@ -133,6 +133,7 @@
 func providePeers(n *state.Node, a *heartbeat.Announcer, out *sender, l log.Logger) *agent.Peers {
 	return agent.New(
 		n, agent.WithSend(out.send), agent.WithSelf(a.Self), agent.WithLogger(l), agent.WithGather(gatherPause),
+		agent.WithSettledKeepers(),
 	)
 }
 
--- a/arbutus-balancer/fabric/forwarder.go
+++ b/arbutus-balancer/fabric/forwarder.go
@@ -250,16 +250,19 @@
 	if !ok {
 		return destination{}, false
 	}
-	agent, ok := choose(target.Agents, p, hash)
+	agent, ok := f.choose(target.Agents, p, hash)
 	return destination{target: target, agent: agent, marks: capsule.MarkAsk}, ok
 }
 
-func choose(agents *placement.Service, p frame.Frame, hash uint64) (*placement.Candidate, bool) {
+func (f *Forwarder) choose(agents *placement.Service, p frame.Frame, hash uint64) (*placement.Candidate, bool) {
 	if p.IsSYN() {
 		if c, ok := agents.FirstAdmitting(hash, nil); ok {
 			return c, true
 		}
 	}
+	if f.placement != nil {
+		return agents.FirstSettled(hash, nil)
+	}
 	return agents.First(hash, nil)
 }
 
--- a/arbutus-balancer/fabric/unclaimed.go
+++ b/arbutus-balancer/fabric/unclaimed.go
@@ -65,7 +65,7 @@
 }
 
 func (f *Forwarder) ask(routes *state.Routes, t *state.Target, h capsule.Header, p frame.Frame, hash uint64) {
-	agent, ok := t.Agents.First(hash, nil)
+	agent, ok := t.Agents.FirstSettled(hash, nil)
 	if !ok {
 		return
 	}
--- a/common/state/placement/members.go
+++ b/common/state/placement/members.go
@@ -25,6 +25,7 @@
 			Domain:    m.Domain,
 			Instance:  m.Instance,
 			Packet:    m.Packet,
+			Joining:   m.Phase == member.Joining,
 			Admitting: m.Phase == member.Serving && !out && !p.IsDrained(m.Name),
 		})
 	}
--- a/common/state/placement/placement.go
+++ b/common/state/placement/placement.go
@@ -23,7 +23,16 @@
 	"arbutusfront.dev/common/protocol/ipv4"
 )
 
+// Which candidates are ranked.
+const (
+	all filter = iota
+	admitting
+	settled
+)
+
 type (
+	filter uint8
+
 	// Candidate is one agent that may hold flows of a service.
 	Candidate struct {
 		Name     string
@@ -32,7 +41,9 @@
 		Packet   netip.AddrPort
 		// Admitting tells that the agent takes new flows.
 		Admitting bool
-		seed      uint64
+		// Joining tells that the agent has taken no flows yet in this run.
+		Joining bool
+		seed    uint64
 	}
 
 	// Service is the immutable candidate list of one service.
@@ -71,13 +82,37 @@
 
 // First returns the candidate that ranks first among those not in visited.
 func (s *Service) First(hash uint64, visited []uint64) (*Candidate, bool) {
-	return s.first(hash, visited, false)
+	return s.first(hash, visited, all)
+}
+
+// FirstSettled is First, but agents that have taken no flows yet come last: they know
+// of few flows.
+func (s *Service) FirstSettled(hash uint64, visited []uint64) (*Candidate, bool) {
+	if c, ok := s.first(hash, visited, settled); ok {
+		return c, true
+	}
+	return s.first(hash, visited, all)
 }
 
 // FirstAdmitting returns the candidate that ranks first among those that take
 // new flows and are not in visited.
 func (s *Service) FirstAdmitting(hash uint64, visited []uint64) (*Candidate, bool) {
-	return s.first(hash, visited, true)
+	return s.first(hash, visited, admitting)
+}
+
+// RankedSettled returns up to limit candidates in the order of FirstSettled.
+func (s *Service) RankedSettled(hash uint64, limit int) []Candidate {
+	ranked := make([]Candidate, 0, limit)
+	var visited []uint64
+	for len(ranked) < limit {
+		c, ok := s.FirstSettled(hash, visited)
+		if !ok {
+			break
+		}
+		ranked = append(ranked, *c)
+		visited = append(visited, c.Instance)
+	}
+	return ranked
 }
 
 // Ranked returns up to limit candidates in order.
@@ -117,15 +152,15 @@
 // Score ranks a candidate for the flow's hash: the highest comes first.
 func (c *Candidate) Score(hash uint64) uint64 { return score(hash, c.seed) }
 
-func (s *Service) first(hash uint64, visited []uint64, admitting bool) (*Candidate, bool) {
+func (s *Service) first(hash uint64, visited []uint64, among filter) (*Candidate, bool) {
 	if s.ring != nil {
-		return s.firstOnRing(hash, visited, admitting)
+		return s.firstOnRing(hash, visited, among)
 	}
 	var best *Candidate
 	var bestScore uint64
 	for i := range s.candidates {
 		c := &s.candidates[i]
-		if admitting && !c.Admitting {
+		if !among.takes(c) {
 			continue
 		}
 		if slices.Contains(visited, c.Instance) {
@@ -139,7 +174,7 @@
 	return best, best != nil
 }
 
-func (s *Service) firstOnRing(hash uint64, visited []uint64, admitting bool) (*Candidate, bool) {
+func (s *Service) firstOnRing(hash uint64, visited []uint64, among filter) (*Candidate, bool) {
 	start := s.ring.start(hash)
 	for i := range s.ring {
 		j := start + i
@@ -147,7 +182,7 @@
 			j -= len(s.ring)
 		}
 		c := &s.candidates[s.ring[j].candidate]
-		if admitting && !c.Admitting || slices.Contains(visited, c.Instance) {
+		if !among.takes(c) || slices.Contains(visited, c.Instance) {
 			continue
 		}
 		return c, true
@@ -160,7 +195,7 @@
 	visited := make([]uint64, 0, limit)
 	ranked := make([]Candidate, 0, limit)
 	for len(ranked) < limit {
-		c, ok := s.firstOnRing(hash, visited, false)
+		c, ok := s.firstOnRing(hash, visited, all)
 		if !ok {
 			break
 		}
@@ -170,6 +205,17 @@
 	return ranked
 }
 
+func (f filter) takes(c *Candidate) bool {
+	switch f {
+	case admitting:
+		return c.Admitting
+	case settled:
+		return !c.Joining
+	default:
+		return true
+	}
+}
+
 // score mixes both halves by the finalizer of splitmix64.
 func score(hash, seed uint64) uint64 {
 	x := hash ^ seed
--- a/common/state/placement/ring.go
+++ b/common/state/placement/ring.go
@@ -10,7 +10,9 @@
 const (
 	// ringThreshold is the number of candidates from which they are placed on a
 	// ring: ranking each of them for each packet would take too long.
-	ringThreshold = 48
+	// Crossing it changes the ranking, so it is more than a service has that grows by
+	// half from a usual size.
+	ringThreshold = 256
 	// pointsPerCandidate sets how evenly a ring shares out flows.
 	pointsPerCandidate = 128
 )
