--- a/arbutus-agent/passthrough/serve/server.go
+++ b/arbutus-agent/passthrough/serve/server.go
@@ -117,7 +117,7 @@
 		s.node.Follow(running, s.follower()),
 		s.keepPhase(running, ctx),
 		s.discover(running),
-		server.Run(running, s.listener, s.handler()),
+		server.Run(running, s.listener, s.Handler()),
 	)
 	self := s.announcer.Self()
 	_ = level.Info(s.log).Log(
@@ -263,6 +263,7 @@
 	time.Sleep(leftDelay)
 }
 
-func (s *Server) handler() http.Handler {
+// Handler serves metrics and dumps.
+func (s *Server) Handler() http.Handler {
 	return s.observer.Handler(func() any { return s.dump() }, s.NotReady)
 }
--- a/arbutus-balancer/serve/server.go
+++ b/arbutus-balancer/serve/server.go
@@ -64,7 +64,7 @@
 	answering, stopAnswering := context.WithCancel(running)
 	defer stopAnswering()
 	s.peers.Learn(s.announcer.Self())
-	calls := server.Run(answering, s.listener, s.handler())
+	calls := server.Run(answering, s.listener, s.Handler())
 	group := tasks.Gather(s.tasks(running)...)
 	s.setPhase(member.Serving)
 	self := s.announcer.Self()
@@ -132,7 +132,8 @@
 	s.peers.Kick()
 }
 
-func (s *Server) handler() http.Handler {
+// Handler answers calls, and serves metrics and dumps.
+func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/", s.observer.Handler(
 		func() any { return dumpOf(s.node, s.announcer, s.mode) },
