--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,7 @@
 
 demo: build
 	@bin/arbutus-lab demo -bin bin -config examples/phellos
+	@bin/arbutus-lab demo -bin bin -config examples/phellos -pass-through
 
 # Tests named in KNOWN-RED.txt are left out and printed. Sessions run with the
 # race detector one by one, those under load without it.
--- /dev/null
+++ b/arbutus-agent/passthrough/serve/announce.go
@@ -0,0 +1,60 @@
+package serve
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-json-experiment/json"
+	"github.com/go-kit/log/level"
+
+	"arbutusfront.dev/arbutus-agent/passthrough"
+)
+
+const (
+	patternAnnounce = "PUT /announcements/{id}"
+	patternWithdraw = "DELETE /announcements/{id}"
+
+	// maxAnnouncementBytes bounds what is read of an announcement.
+	maxAnnouncementBytes = 16 << 10
+)
+
+// AnnouncementBody is what a backend server says of itself at its agent's control
+// address.
+type AnnouncementBody struct {
+	BornUnixMillis int64  `json:"born_unix_millis"`
+	Sequence       uint64 `json:"sequence"`
+	Draining       bool   `json:"draining"`
+	ColdMillis     int64  `json:"cold_millis"`
+	Slots          int    `json:"slots"`
+}
+
+// announcements takes what the backend server says of itself.
+func (s *Server) announcements(mux *http.ServeMux) {
+	mux.HandleFunc(patternAnnounce, func(w http.ResponseWriter, r *http.Request) {
+		body, err := readAnnouncement(r.Body)
+		if err != nil {
+			_ = level.Warn(s.log).Log("event", "announcement_unreadable", "id", r.PathValue("id"), "err", err)
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		s.backend.Announce(passthrough.Announcement{
+			ID:       r.PathValue("id"),
+			Born:     body.BornUnixMillis,
+			Sequence: body.Sequence,
+			Draining: body.Draining,
+			Cold:     time.Duration(body.ColdMillis) * time.Millisecond,
+			Slots:    body.Slots,
+		})
+	})
+	mux.HandleFunc(patternWithdraw, func(_ http.ResponseWriter, r *http.Request) { s.backend.Withdraw(r.PathValue("id")) })
+}
+
+func readAnnouncement(r io.Reader) (AnnouncementBody, error) {
+	b, err := io.ReadAll(io.LimitReader(r, maxAnnouncementBytes))
+	if err != nil {
+		return AnnouncementBody{}, Error.Wrap(err)
+	}
+	var body AnnouncementBody
+	return body, Error.Wrap(json.Unmarshal(b, &body, json.RejectUnknownMembers(true)))
+}
--- a/arbutus-agent/passthrough/serve/server.go
+++ b/arbutus-agent/passthrough/serve/server.go
@@ -263,7 +263,10 @@
 	time.Sleep(leftDelay)
 }
 
-// Handler serves metrics and dumps.
+// Handler serves metrics and dumps, and takes announcements of the backend server.
 func (s *Server) Handler() http.Handler {
-	return s.observer.Handler(func() any { return s.dump() }, s.NotReady)
+	mux := http.NewServeMux()
+	mux.Handle("/", s.observer.Handler(func() any { return s.dump() }, s.NotReady))
+	s.announcements(mux)
+	return mux
 }
--- a/arbutus-agent/serve/serve.go
+++ b/arbutus-agent/serve/serve.go
@@ -8,10 +8,13 @@
 
 import (
 	"context"
+	"net/netip"
 
 	"arbutusfront.dev/arbutus-agent/caller"
+	passserve "arbutusfront.dev/arbutus-agent/passthrough/serve"
 	"arbutusfront.dev/common/command"
 	"arbutusfront.dev/common/command/serve"
+	"arbutusfront.dev/common/protocol/frame"
 	"arbutusfront.dev/common/protocol/settings"
 	"arbutusfront.dev/common/transport/network"
 )
@@ -46,6 +49,9 @@
 
 // Run runs an agent until ctx ends.
 func Run(ctx context.Context, opts *Options) error {
+	if opts.Settings.Mode == settings.ModePassThrough {
+		return passThrough(ctx, opts)
+	}
 	s, cleanup, err := build(&opts.Settings, opts.Network(), opts.Stack, serve.Logger(opts.Streams))
 	if err != nil {
 		return err
@@ -53,3 +59,18 @@
 	defer cleanup()
 	return s.Run(ctx)
 }
+
+// passThrough runs an agent whose backend server holds flows itself.
+func passThrough(ctx context.Context, opts *Options) error {
+	s := &opts.Settings
+	a, cleanup, err := passserve.Build(s, opts.Network(), serve.Logger(opts.Streams), passserve.Mode{
+		Codec:     frame.IPv4(),
+		Outbound:  s.OutboundAddress,
+		AddressOf: func(netip.AddrPort) netip.AddrPort { return s.FabricReturn },
+	})
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	return a.Run(ctx)
+}
--- a/arbutus-balancer/serve/serve.go
+++ b/arbutus-balancer/serve/serve.go
@@ -8,9 +8,11 @@
 
 import (
 	"context"
+	"net/netip"
 
 	"github.com/go-kit/log"
 
+	"arbutusfront.dev/arbutus-balancer/fabric"
 	"arbutusfront.dev/common/command"
 	"arbutusfront.dev/common/command/serve"
 	"arbutusfront.dev/common/protocol/settings"
@@ -46,7 +48,7 @@
 
 // Run runs a balancer until ctx ends.
 func Run(ctx context.Context, opts *Options) error {
-	s, cleanup, err := Build(&opts.Settings, opts.Network(), serve.Logger(opts.Streams), opts.Mode)
+	s, cleanup, err := Build(&opts.Settings, opts.Network(), serve.Logger(opts.Streams), opts.mode())
 	if err != nil {
 		return err
 	}
@@ -54,6 +56,18 @@
 	return s.Run(ctx)
 }
 
+// mode returns how the balancer deals with its surroundings, by its settings too.
+func (o *Options) mode() Mode {
+	m := o.Mode
+	if o.Settings.Placement {
+		m.Fabric = append(m.Fabric, fabric.WithPlacement())
+		if to := o.Settings.FabricReturn; to.IsValid() {
+			m.Fabric = append(m.Fabric, fabric.WithCallers(func(netip.AddrPort) netip.AddrPort { return to }))
+		}
+	}
+	return m
+}
+
 // Build returns a balancer that is ready to run, and what releases it.
 func Build(s *settings.Balancer, n network.Network, l log.Logger, m Mode) (*Server, func(), error) {
 	return build(s, n, l, m)
--- /dev/null
+++ b/arbutus-lab/backend/flows.go
@@ -0,0 +1,157 @@
+package backend
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+
+	"arbutusfront.dev/common/protocol/ipv4"
+	"arbutusfront.dev/common/transport/datagram"
+	"arbutusfront.dev/common/transport/tcpstack"
+)
+
+// acceptedConnections is how many connections may wait to be served.
+const acceptedConnections = 1024
+
+type (
+	// Flows ends the TCP of callers for a backend server that holds flows itself. It
+	// gives back packets of flows that it does not hold.
+	Flows struct {
+		socket   *datagram.Socket
+		outbound netip.AddrPort
+		stack    *tcpstack.Stack
+		accepted chan net.Conn
+		ended    chan struct{}
+
+		mu   sync.Mutex
+		held map[ipv4.FlowKey]bool
+	}
+
+	// heldConn forgets its flow at the end.
+	heldConn struct {
+		net.Conn
+		forget func()
+	}
+)
+
+// NewFlows returns the flows of a backend server that gets packets from the socket, and
+// hands out its own at the address.
+func NewFlows(socket *datagram.Socket, outbound netip.AddrPort) (*Flows, error) {
+	f := &Flows{
+		socket: socket, outbound: outbound, held: make(map[ipv4.FlowKey]bool),
+		accepted: make(chan net.Conn, acceptedConnections), ended: make(chan struct{}),
+	}
+	s, err := tcpstack.New(tcpstack.WithAccept(f.accept))
+	f.stack = s
+	return f, err
+}
+
+// Run serves the flows by h until ctx ends, and reports its end on the channel.
+func (f *Flows) Run(ctx context.Context, h http.Handler) <-chan error {
+	server := &http.Server{Handler: h}
+	served := make(chan error, 1)
+	sent := make(chan struct{})
+	go func() { served <- server.Serve(f) }()
+	go func() {
+		defer close(sent)
+		f.stack.Output(ctx, f.send)
+	}()
+	context.AfterFunc(ctx, func() { _ = f.socket.Close() })
+	done := make(chan error, 1)
+	go func() {
+		err := f.read()
+		close(f.ended)
+		err = errors.Join(err, server.Close())
+		<-served
+		<-sent
+		f.stack.Close()
+		done <- err
+	}()
+	return done
+}
+
+func (f *Flows) read() error {
+	batch := datagram.NewBatch(datagram.BatchSize)
+	for {
+		n, err := f.socket.ReadBatch(batch)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		for i := range n {
+			f.take(batch[i].Bytes())
+		}
+	}
+}
+
+func (f *Flows) take(b []byte) {
+	p, err := ipv4.Parse(b)
+	if err != nil {
+		return
+	}
+	f.mu.Lock()
+	if p.IsSYN() {
+		f.held[p.Key()] = true
+	}
+	held := f.held[p.Key()]
+	f.mu.Unlock()
+	if held {
+		f.stack.Inject(b)
+		return
+	}
+	returned := bytes.Clone(b)
+	ipv4.Mark(returned)
+	f.send(returned)
+}
+
+// send hands out a packet. What is lost on the way is repeated by TCP.
+func (f *Flows) send(b []byte) { _ = f.socket.Write(b, f.outbound) }
+
+func (f *Flows) accept(r *tcpstack.Request) {
+	key := ipv4.FlowKey{Caller: r.Caller, Service: r.Service}
+	forget := func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.held, key)
+	}
+	c, err := r.Answer()
+	if err != nil {
+		forget()
+		return
+	}
+	select {
+	case f.accepted <- heldConn{Conn: c, forget: forget}:
+	case <-f.ended:
+		c.Abort()
+	}
+}
+
+// Close leaves the last packets of the flow to the stack, and forgets it once they are
+// late.
+func (c heldConn) Close() error {
+	err := c.Conn.Close()
+	lateAfter(c.forget)
+	return err
+}
+
+// Accept implements net.Listener.
+func (f *Flows) Accept() (net.Conn, error) {
+	select {
+	case c := <-f.accepted:
+		return c, nil
+	case <-f.ended:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (f *Flows) Close() error { return nil }
+
+// Addr implements net.Listener.
+func (f *Flows) Addr() net.Addr { return net.UDPAddrFromAddrPort(f.socket.Local) }
--- a/arbutus-lab/cluster/cluster.go
+++ b/arbutus-lab/cluster/cluster.go
@@ -43,6 +43,9 @@
 	portControl = 7003
 	portReturn  = 7004
 	portBackend = 8000
+	// portOutbound is where backend servers hand out packets that hold flows
+	// themselves.
+	portOutbound = 8001
 
 	stopTimeout = 15 * time.Second
 	waitStep    = 50 * time.Millisecond
@@ -71,6 +74,8 @@
 		addresses map[string]netip.Addr
 		processes map[string]*Process
 		balancers []string
+		// passThrough tells that backend servers hold flows themselves.
+		passThrough bool
 	}
 )
 
@@ -113,6 +118,10 @@
 	return c, nil
 }
 
+// SetPassThrough has backend servers that are started from now on hold flows
+// themselves.
+func (c *Cluster) SetPassThrough() { c.passThrough = true }
+
 // Close ends all processes and removes their files.
 func (c *Cluster) Close() error {
 	c.mu.Lock()
@@ -160,6 +169,10 @@
 		Identity:      c.identity(name, domain),
 		FabricAddress: c.Address(name, portFabric),
 		StoreURL:      c.StoreURL(),
+		Placement:     c.passThrough,
+	}
+	if c.passThrough {
+		s.FabricReturn = c.Address(nameFabric, portReturn)
 	}
 	c.mu.Lock()
 	c.balancers = append(c.balancers, name)
@@ -178,19 +191,25 @@
 // StartBackend starts a backend server without its agent.
 func (c *Cluster) StartBackend(s Server, args ...string) error {
 	args = append([]string{"serve", "backend", "-name", s.Name, "-listen", c.at(s.Name, portBackend)}, args...)
+	if c.passThrough {
+		args = append(args, "-outbound", c.at(s.Name, portOutbound), "-agent", c.at(s.Name, portControl))
+	}
 	return c.run(s.Name+"-backend", "arbutus-lab", args...)
 }
 
 // StartAgent starts the agent of a backend server.
 func (c *Cluster) StartAgent(s Server) error {
-	err := c.writeSettings(s.Name, settings.Agent{
+	agent := settings.Agent{
 		Identity:       c.identity(s.Name, s.Domain),
 		Service:        s.Service,
 		BackendAddress: c.Address(s.Name, portBackend),
 		FabricReturn:   c.Address(nameFabric, portReturn),
 		FabricEntry:    c.FabricEntry(),
-	})
-	if err != nil {
+	}
+	if c.passThrough {
+		agent.Mode, agent.OutboundAddress = settings.ModePassThrough, c.Address(s.Name, portOutbound)
+	}
+	if err := c.writeSettings(s.Name, agent); err != nil {
 		return err
 	}
 	return c.run(s.Name, "arbutus-agent", "serve", "-settings", c.settingsFile(s.Name))
--- a/arbutus-lab/demo/demo.go
+++ b/arbutus-lab/demo/demo.go
@@ -48,6 +48,8 @@
 		Streams command.Streams
 		Bin     string
 		Config  string
+		// PassThrough has backend servers hold flows themselves.
+		PassThrough bool
 	}
 
 	// Command runs the demo.
@@ -92,6 +94,7 @@
 
 Examples:
   arbutus-lab demo -bin bin -config examples/phellos
+  arbutus-lab demo -bin bin -config examples/phellos -pass-through
 
 `
 }
@@ -99,6 +102,7 @@
 // SetFlags implements subcommands.Command.
 func (c *Command) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.opts.Bin, "bin", "bin", "`directory` with the programs")
+	f.BoolVar(&c.opts.PassThrough, "pass-through", false, "have backend servers hold flows themselves")
 	f.StringVar(&c.opts.Config, "config", "examples/phellos", "`directory` with the deployment's files")
 }
 
@@ -126,6 +130,9 @@
 		return err
 	}
 	defer func() { err = errors.Join(err, c.Close()) }()
+	if opts.PassThrough {
+		c.SetPassThrough()
+	}
 	if err := opts.bringUp(ctx, c, cfg); err != nil {
 		return err
 	}
--- a/arbutus-lab/standin/serve.go
+++ b/arbutus-lab/standin/serve.go
@@ -36,16 +36,19 @@
 type (
 	// Options are what the command runs with.
 	Options struct {
-		Kind    string
-		Name    string
-		Listen  netip.AddrPort
-		Entry   netip.AddrPort
-		Return  netip.AddrPort
-		Slots   int
-		Work    time.Duration
-		Seed    uint64
-		Delay   time.Duration
-		Network network.Network
+		Kind   string
+		Name   string
+		Listen netip.AddrPort
+		Entry  netip.AddrPort
+		Return netip.AddrPort
+		// Outbound and Agent are set for a backend server that holds flows itself.
+		Outbound netip.AddrPort
+		Agent    netip.AddrPort
+		Slots    int
+		Work     time.Duration
+		Seed     uint64
+		Delay    time.Duration
+		Network  network.Network
 	}
 
 	// Command runs a stand-in.
@@ -93,6 +96,9 @@
 	f.Uint64Var(&c.opts.Seed, "seed", 1, "the fabric's `seed`")
 	f.TextVar(&c.opts.Listen, "listen", netip.AddrPort{}, "HTTP `address`")
 	f.TextVar(&c.opts.Entry, "entry", netip.AddrPort{}, "the fabric's UDP `address` for callers")
+	f.TextVar(&c.opts.Outbound, "outbound", netip.AddrPort{},
+		"UDP `address` of the agent, if the backend server holds flows itself")
+	f.TextVar(&c.opts.Agent, "agent", netip.AddrPort{}, "the agent's control `address`, with -outbound")
 	f.TextVar(&c.opts.Return, "return", netip.AddrPort{}, "the fabric's UDP `address` for agents")
 }
 
@@ -127,12 +133,36 @@
 		mux := http.NewServeMux()
 		mux.Handle("/", b)
 		mux.HandleFunc("GET /ran", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, b.Ran()) })
+		if opts.Outbound.IsValid() {
+			return opts.serveFlows(ctx, b, mux)
+		}
 		return opts.listen(ctx, mux)
 	default:
 		return command.Usagef("unknown stand-in %q; use store, fabric or backend", opts.Kind)
 	}
 }
 
+// serveFlows serves a backend server that holds flows itself, and tells its agent.
+func (o *Options) serveFlows(ctx context.Context, b *backend.Server, h http.Handler) error {
+	socket, err := o.Network.ListenPacket(o.Listen)
+	if err != nil {
+		return err
+	}
+	flows, err := backend.NewFlows(socket, o.Outbound)
+	if err != nil {
+		return errors.Join(err, socket.Close())
+	}
+	done := flows.Run(ctx, h)
+	announced := make(chan struct{})
+	go func() {
+		defer close(announced)
+		b.Announce(ctx, o.Network.PlainClient(), o.Agent)
+	}()
+	err = o.listen(ctx, h)
+	<-announced
+	return errors.Join(err, <-done)
+}
+
 func (o *Options) serveStore(ctx context.Context) error {
 	s := store.New()
 	mux := http.NewServeMux()
--- a/common/protocol/settings/settings.go
+++ b/common/protocol/settings/settings.go
@@ -18,6 +18,10 @@
 	"arbutusfront.dev/common/protocol/strictjson"
 )
 
+// ModePassThrough has an agent carry packets to a backend server that holds flows
+// itself.
+const ModePassThrough = "pass_through"
+
 type (
 	// Identity is what each process states about itself.
 	Identity struct {
@@ -42,6 +46,12 @@
 		FabricAddress netip.AddrPort `json:"fabric_address"`
 		// StoreURL is the base URL of the platform's store.
 		StoreURL string `json:"store_url"`
+		// Placement has the balancer choose agents by load and remember where flows
+		// are. It is for agents that pass flows through.
+		Placement bool `json:"placement"`
+		// FabricReturn is the UDP address that resets to callers go to, with
+		// placement.
+		FabricReturn netip.AddrPort `json:"fabric_return"`
 	}
 
 	// Agent is the settings of arbutus-agent.
@@ -56,6 +66,11 @@
 		// FabricEntry is the UDP address that callers' packets go to. The agent
 		// announces itself through it while it knows no balancer.
 		FabricEntry netip.AddrPort `json:"fabric_entry"`
+		// Mode is empty if the agent ends callers' TCP, or ModePassThrough.
+		Mode string `json:"mode"`
+		// OutboundAddress is the UDP address where the backend server hands out
+		// packets, if the agent passes flows through.
+		OutboundAddress netip.AddrPort `json:"outbound_address"`
 	}
 
 	// Operator is the settings of arbutusctl.
@@ -136,6 +151,7 @@
 func (s *Agent) check(c *checks) {
 	s.Identity.check(c)
 	c.text("/service", s.Service)
+	s.checkMode(c)
 	c.address("/backend_address", s.BackendAddress)
 	c.address("/fabric_return", s.FabricReturn)
 	if s.FabricEntry.IsValid() {
@@ -147,6 +163,16 @@
 	}
 }
 
+func (s *Agent) checkMode(c *checks) {
+	switch s.Mode {
+	case "":
+	case ModePassThrough:
+		c.address("/outbound_address", s.OutboundAddress)
+	default:
+		c.report("/mode", "unknown mode "+s.Mode, "leave it out, or use "+ModePassThrough)
+	}
+}
+
 func (s *Operator) check(c *checks) {
 	c.text("/store_url", s.StoreURL)
 	if _, err := control.NewKey(s.Secret); err != nil {
