--- a/arbutus-lab/backend/announce.go
+++ b/arbutus-lab/backend/announce.go
@@ -35,7 +35,9 @@
 	}
 }
 
-func (s *Server) announce(ctx context.Context, c *http.Client, control netip.AddrPort, body passserve.AnnouncementBody) {
+func (s *Server) announce(
+	ctx context.Context, c *http.Client, control netip.AddrPort, body passserve.AnnouncementBody,
+) {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	b, err := json.Marshal(body)
--- a/arbutus-lab/backend/flows.go
+++ b/arbutus-lab/backend/flows.go
@@ -66,7 +66,9 @@
 		err := f.read()
 		close(f.ended)
 		err = errors.Join(err, server.Close())
-		<-served
+		if ended := <-served; !errors.Is(ended, http.ErrServerClosed) && !errors.Is(ended, net.ErrClosed) {
+			err = errors.Join(err, ended)
+		}
 		<-sent
 		f.stack.Close()
 		done <- err
