--- /dev/null
+++ b/arbutus-agent/passthrough/rig_test.go
@@ -0,0 +1,159 @@
+package passthrough
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"arbutusfront.dev/arbutus-agent/state"
+	"arbutusfront.dev/common/coordination/config"
+	"arbutusfront.dev/common/coordination/member"
+	"arbutusfront.dev/common/coordination/peer"
+	"arbutusfront.dev/common/protocol/capsule"
+	"arbutusfront.dev/common/protocol/frame"
+	"arbutusfront.dev/common/protocol/ipv4"
+)
+
+const (
+	callerNumber = 1000
+	serverNumber = 5000
+)
+
+var (
+	balancerAddress = netip.MustParseAddrPort("10.0.0.9:7000")
+	endpoint        = netip.MustParseAddrPort("10.80.0.1:80")
+	errDead         = errors.New("connection refused")
+)
+
+type (
+	// forwarded is a datagram to another process.
+	forwarded struct {
+		to   netip.AddrPort
+		kind capsule.Kind
+		h    capsule.Header
+		held capsule.Held
+	}
+
+	// rig is an engine with what it sent.
+	rig struct {
+		engine    *Engine
+		server    *Server
+		node      *state.Node
+		self      member.Member
+		now       time.Time
+		delivered [][]byte
+		replied   []ipv4.Packet
+		forwarded []forwarded
+		opened    []ipv4.FlowKey
+		alive     error
+	}
+)
+
+func agentMember(name, domain string, i int) member.Member {
+	return member.Member{
+		Name: name, Role: member.Agent, Domain: domain, Service: "desk", Instance: uint64(100 + i), Version: 1,
+		Phase: member.Serving, Packet: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7002),
+	}
+}
+
+// newRig returns the engine of agent a-1 of three, whose backend server has said
+// nothing.
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	r := &rig{now: time.Unix(1_700_000_000, 0), self: agentMember("a-1", "north", 1)}
+	r.node = state.NewNode(r.self)
+	r.server = NewServer(func(context.Context) error { return r.alive })
+	r.server.now = func() time.Time { return r.now }
+	r.server.started = r.now
+	r.adopt(1, config.DomainIn)
+	r.engine = New(
+		r.node, r.server, frame.IPv4(),
+		WithIdentity(func() member.Member { return r.self }),
+		WithDeliver(func(b []byte) error { r.delivered = append(r.delivered, slices.Clone(b)); return nil }),
+		WithReply(func(_ netip.AddrPort, b []byte) error {
+			p, err := ipv4.Parse(slices.Clone(b))
+			r.replied = append(r.replied, p)
+			return err
+		}),
+		WithForward(r.forward),
+		WithDirectoryUpdates(func(k ipv4.FlowKey) { r.opened = append(r.opened, k) }, func(ipv4.FlowKey) {}),
+	)
+	r.engine.now = r.server.now
+	return r
+}
+
+func (r *rig) adopt(revision uint64, north config.DomainState) {
+	r.node.Adopt(peer.View{
+		Revision: revision,
+		Config: config.View{
+			Service:   config.Service{Name: "desk", BackendClass: config.BackendClass{Connections: 100}},
+			Domains:   []config.Domain{{Name: "north", State: north}, {Name: "south", State: config.DomainIn}},
+			DomainOut: config.KeepFlows,
+		},
+		Members: []member.Member{r.self, agentMember("a-2", "south", 2), agentMember("a-3", "south", 3)},
+	})
+}
+
+func (r *rig) forward(b []byte, to netip.AddrPort) error {
+	kind, err := capsule.KindOf(b)
+	if err != nil {
+		return err
+	}
+	f := forwarded{to: to, kind: kind}
+	if kind == capsule.KindHeld {
+		f.held, err = capsule.ParseHeld(b)
+	} else {
+		f.h, _, err = capsule.ParsePacket(b, nil)
+	}
+	r.forwarded = append(r.forwarded, f)
+	return err
+}
+
+// announce has the backend server say something.
+func (r *rig) announce(change func(*Announcement)) {
+	a := Announcement{ID: "s-1", Born: r.now.UnixMilli(), Sequence: 1, Slots: 4}
+	if change != nil {
+		change(&a)
+	}
+	r.server.Announce(a)
+}
+
+func segment(port uint16, flags ipv4.Flags, sequence, acknowledgment uint32, payload int) ipv4.Segment {
+	return ipv4.Segment{
+		Key:   ipv4.FlowKey{Caller: netip.AddrPortFrom(netip.MustParseAddr("192.0.2.1"), port), Service: endpoint},
+		Flags: flags, Sequence: sequence, Acknowledgment: acknowledgment, Payload: make([]byte, payload),
+	}
+}
+
+// take hands the engine a caller's packet, as a balancer sends it.
+func (r *rig) take(s ipv4.Segment, marks capsule.Marks, visited ...uint64) {
+	r.engine.HandlePacket(balancerAddress, capsule.Header{
+		Revision: 1, Target: r.self.Instance, Service: r.self.ServiceKey(), Origin: balancerAddress, Marks: marks,
+		Visited: visited,
+	}, ipv4.Build(s))
+}
+
+// answer hands the engine a packet of the backend server.
+func (r *rig) answer(s ipv4.Segment) {
+	s.FromService = true
+	r.engine.HandleOutbound(ipv4.Build(s))
+}
+
+// giveBack has the backend server return a caller's packet.
+func (r *rig) giveBack(s ipv4.Segment) {
+	b := ipv4.Build(s)
+	ipv4.Mark(b)
+	r.engine.HandleOutbound(b)
+}
+
+// open opens a flow at the backend server.
+func (r *rig) open(port uint16) {
+	r.take(segment(port, ipv4.FlagSYN, callerNumber, 0, 0), capsule.MarkAsk)
+	r.answer(segment(port, ipv4.FlagSYN|ipv4.FlagACK, serverNumber, callerNumber+1, 0))
+	r.take(segment(port, ipv4.FlagACK, callerNumber+1, serverNumber+1, 0), 0)
+}
+
+func (r *rig) clear() { r.delivered, r.replied, r.forwarded = nil, nil, nil }
--- a/arbutus-agent/passthrough/serve/providers.go
+++ b/arbutus-agent/passthrough/serve/providers.go
@@ -55,21 +55,6 @@
 
 func provideKey(s *settings.Agent) (control.Key, error) { return control.NewKey(s.Secret) }
 
-func provideSelf(s *settings.Agent) member.Member {
-	return member.Member{
-		Name:     s.Name,
-		Role:     member.Agent,
-		Domain:   s.Domain,
-		Service:  s.Service,
-		Packet:   s.PacketAddress,
-		Control:  s.ControlAddress,
-		Backend:  s.BackendAddress,
-		Instance: member.NewInstance(s.Name, time.Now()),
-		Version:  1,
-		Phase:    member.Joining,
-	}
-}
-
 func provideBackend(s *settings.Agent, n network.Network, l log.Logger) *passthrough.Server {
 	address := s.BackendAddress.String()
 	plain := n.PlainClient()
--- a/arbutus-agent/passthrough/serve/wire_gen.go
+++ b/arbutus-agent/passthrough/serve/wire_gen.go
@@ -17,7 +17,7 @@
 
 // build wires an agent that passes flows through.
 func build(s *settings.Agent, n network.Network, l log.Logger, m Mode) (*Server, func(), error) {
-	member := provideSelf(s)
+	member := state.SelfOf(s)
 	node := state.NewNode(member)
 	serveSender := provideSender()
 	announcer := provideAnnouncer(member, s, node, serveSender, m)
--- a/arbutus-agent/serve/providers.go
+++ b/arbutus-agent/serve/providers.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"net/netip"
 	"slices"
-	"time"
 
 	"github.com/go-kit/log"
 
@@ -64,21 +63,6 @@
 
 func provideKey(s *settings.Agent) (control.Key, error) { return control.NewKey(s.Secret) }
 
-func provideSelf(s *settings.Agent) member.Member {
-	return member.Member{
-		Name:     s.Name,
-		Role:     member.Agent,
-		Domain:   s.Domain,
-		Service:  s.Service,
-		Packet:   s.PacketAddress,
-		Control:  s.ControlAddress,
-		Backend:  s.BackendAddress,
-		Instance: member.NewInstance(s.Name, time.Now()),
-		Version:  1,
-		Phase:    member.Joining,
-	}
-}
-
 func provideBackend(s *settings.Agent, n network.Network) *backend.Server {
 	return backend.New(n, s.BackendAddress, backend.NewLimiter())
 }
--- a/arbutus-agent/serve/wire.go
+++ b/arbutus-agent/serve/wire.go
@@ -15,7 +15,6 @@
 func build(s *settings.Agent, n network.Network, newStack stackFactory, l log.Logger) (*Server, func(), error) {
 	wire.Build(
 		provideKey,
-		provideSelf,
 		provideObserver,
 		provideAnnouncer,
 		provideBackend,
@@ -29,6 +28,7 @@
 		provideListener,
 		provideSender,
 		state.NewNode,
+		state.SelfOf,
 		wire.Struct(new(Server), "*"),
 	)
 	return nil, nil, nil
--- a/arbutus-agent/serve/wire_gen.go
+++ b/arbutus-agent/serve/wire_gen.go
@@ -17,7 +17,7 @@
 
 // build wires an agent.
 func build(s *settings.Agent, n network.Network, newStack stackFactory, l log.Logger) (*Server, func(), error) {
-	member := provideSelf(s)
+	member := state.SelfOf(s)
 	node := state.NewNode(member)
 	server := provideBackend(s, n)
 	serveSender := provideSender(s)
--- /dev/null
+++ b/arbutus-agent/state/self.go
@@ -0,0 +1,25 @@
+package state
+
+import (
+	"time"
+
+	"arbutusfront.dev/common/coordination/member"
+	"arbutusfront.dev/common/protocol/settings"
+)
+
+// SelfOf returns the agent with the settings, as a process that starts now announces
+// it.
+func SelfOf(s *settings.Agent) member.Member {
+	return member.Member{
+		Name:     s.Name,
+		Role:     member.Agent,
+		Domain:   s.Domain,
+		Service:  s.Service,
+		Packet:   s.PacketAddress,
+		Control:  s.ControlAddress,
+		Backend:  s.BackendAddress,
+		Instance: member.NewInstance(s.Name, time.Now()),
+		Version:  1,
+		Phase:    member.Joining,
+	}
+}
