Do not ask balancers without a configuration for a view

Cause: after a start of everything, agents asked balancers that knew nothing yet and then paused 100 ms.

--- a/arbutus-agent/balancer/balancer.go
+++ b/arbutus-agent/balancer/balancer.go
@@ -51,6 +51,8 @@
 	c.announcer.Handle(ack)
 	v := c.node.View()
 	switch {
+	case ack.GetRevision() == 0:
+		// The balancer has no configuration yet, and so no view.
 	case ack.GetRevision() < v.Revision:
 		// The balancer is behind: it learns that from its peers.
 	case ack.GetViewDigest() == v.Digest && v.Known:
--- /dev/null
+++ b/arbutus-agent/balancer/balancer_test.go
@@ -0,0 +1,57 @@
+package balancer
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/onsi/gomega"
+
+	"arbutusfront.dev/arbutus-agent/state"
+	"arbutusfront.dev/common/coordination/config"
+	"arbutusfront.dev/common/coordination/heartbeat"
+	"arbutusfront.dev/common/coordination/member"
+	"arbutusfront.dev/common/coordination/peer"
+	controlv1 "arbutusfront.dev/common/protocol/gen/arbutus/control/v1"
+)
+
+func monitor(i int) member.Member {
+	a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7002)
+	return member.Member{
+		Name: "balancer-" + string(rune('0'+i)), Role: member.Balancer, Domain: "north", Packet: a, Control: a,
+		Instance: uint64(i), Version: 1, Phase: member.Serving,
+	}
+}
+
+// TestUnconfiguredBalancerIsNotAsked has an agent hear first from a balancer without a
+// configuration, then from one that has it: it once asked the first, and waited before it
+// asked the second.
+func TestUnconfiguredBalancerIsNotAsked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		self := member.Member{
+			Name: "desk-1", Role: member.Agent, Domain: "north", Service: "desk", Instance: 9, Version: 1,
+			Phase: member.Joining,
+		}
+		node := state.NewNode(self)
+		a := heartbeat.New(self, heartbeat.WithPace(func() heartbeat.Pace { return heartbeat.Pace{Lease: time.Second} }))
+		var asked []netip.AddrPort
+		c := New(node, a, func(_ context.Context, at netip.AddrPort, _ string) (peer.View, error) {
+			asked = append(asked, at)
+			return peer.View{Revision: 5, Config: config.View{Service: config.Service{Name: "desk"}}}, nil
+		}, log.NewNopLogger())
+		ctx, cancel := context.WithCancel(context.Background())
+		done := c.Run(ctx)
+		c.HandleAck(&controlv1.HeartbeatAck{Monitor: monitor(1).Encode()})
+		synctest.Wait()
+		c.HandleAck(&controlv1.HeartbeatAck{Monitor: monitor(2).Encode(), Revision: 5, ViewDigest: 77})
+		synctest.Wait()
+		g.Expect(asked).To(Equal([]netip.AddrPort{monitor(2).Control}))
+		g.Expect(node.View().Known).To(BeTrue())
+		cancel()
+		g.Expect(<-done).To(Succeed())
+	})
+}
