--- a/common/state/observe/lines.go
+++ b/common/state/observe/lines.go
@@ -6,6 +6,8 @@
 	"io"
 	"sync"
 	"time"
+
+	"github.com/go-kit/log"
 )
 
 const (
@@ -19,29 +21,69 @@
 	endBound = 100 * time.Millisecond
 )
 
-// Lines writes log lines without ever waiting for their reader. Lines beyond the budget
-// of a second, and those that find the queue full, are left out; a line tells how many.
-// Its methods may be called by several goroutines.
-type Lines struct {
-	now    func() time.Time
-	budget int
-	queue  chan []byte
-	ended  chan struct{}
+type (
+	// Lines writes log lines without ever waiting for their reader. Lines that find
+	// the queue full are left out; a line tells how many. Its methods may be called by
+	// several goroutines.
+	Lines struct {
+		queue chan []byte
+		ended chan struct{}
 
-	mu     sync.Mutex
-	second int64
-	used   int
-	left   int
-	closed bool
-}
+		mu     sync.Mutex
+		left   int
+		closed bool
+	}
+
+	// budget is a logger that leaves out lines beyond a number a second, before they
+	// are formatted.
+	budget struct {
+		next      log.Logger
+		perSecond int
+		now       func() time.Time
+
+		mu     sync.Mutex
+		second int64
+		used   int
+		left   int
+	}
+)
 
-// NewLines returns a writer of up to perSecond lines a second to w.
-func NewLines(w io.Writer, perSecond int) *Lines {
-	l := &Lines{now: time.Now, budget: perSecond, queue: make(chan []byte, queuedLines), ended: make(chan struct{})}
+// NewLines returns a writer of lines to w.
+func NewLines(w io.Writer) *Lines {
+	l := &Lines{queue: make(chan []byte, queuedLines), ended: make(chan struct{})}
 	go l.run(w)
 	return l
 }
 
+// WithBudget returns a logger that passes up to perSecond lines a second to next, and
+// then a line that tells how many it has left out.
+func WithBudget(next log.Logger, perSecond int) log.Logger {
+	return &budget{next: next, perSecond: perSecond, now: time.Now}
+}
+
+// Log implements log.Logger.
+func (b *budget) Log(keyvals ...any) error {
+	b.mu.Lock()
+	left := 0
+	if second := b.now().Unix(); second != b.second {
+		left = b.left
+		b.second, b.used, b.left = second, 0, 0
+	}
+	if b.used >= b.perSecond {
+		b.left++
+		b.mu.Unlock()
+		return nil
+	}
+	b.used++
+	b.mu.Unlock()
+	if left > 0 {
+		if err := b.next.Log("event", "lines_left_out", "count", left); err != nil {
+			return err
+		}
+	}
+	return b.next.Log(keyvals...)
+}
+
 func (l *Lines) run(w io.Writer) {
 	defer close(l.ended)
 	for b := range l.queue {
@@ -54,20 +96,15 @@
 func (l *Lines) Write(b []byte) (int, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.closed {
-		return len(b), nil
-	}
-	if second := l.now().Unix(); second != l.second {
-		l.second, l.used = second, 0
-		if l.left > 0 && l.enqueue(fmt.Appendf(nil, "event=lines_left_out count=%d\n", l.left)) {
-			l.left = 0
-		}
-	}
-	if l.used >= l.budget || !l.enqueue(bytes.Clone(b)) {
+	switch {
+	case l.closed:
+	case l.left > 0 && !l.enqueue(fmt.Appendf(nil, "event=lines_unread count=%d\n", l.left)):
 		l.left++
-		return len(b), nil
+	case !l.enqueue(bytes.Clone(b)):
+		l.left = 1
+	default:
+		l.left = 0
 	}
-	l.used++
 	return len(b), nil
 }
 
--- a/common/state/observe/lines_test.go
+++ b/common/state/observe/lines_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"bytes"
-	"fmt"
 	"io"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	. "github.com/onsi/gomega"
 )
 
@@ -18,32 +18,39 @@
 func TestBudget(t *testing.T) {
 	g := NewWithT(t)
 	var out bytes.Buffer
-	l := NewLines(&out, 3)
 	now := time.Unix(100, 0)
-	l.now = func() time.Time { return now }
+	l := &budget{next: log.NewLogfmtLogger(&out), perSecond: 3, now: func() time.Time { return now }}
 	for i := range 10 {
-		_, err := fmt.Fprintf(l, "event=sample n=%d\n", i)
-		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(l.Log("event", "sample", "n", i)).To(Succeed())
 	}
 	now = now.Add(time.Second)
-	_, _ = fmt.Fprintf(l, "event=sample n=%d\n", 10)
-	g.Expect(l.Close()).To(Succeed())
+	g.Expect(l.Log("event", "sample", "n", 10)).To(Succeed())
 	g.Expect(out.String()).To(Equal(
 		"event=sample n=0\nevent=sample n=1\nevent=sample n=2\nevent=lines_left_out count=7\nevent=sample n=10\n"))
 }
 
-// TestStalledReader writes lines that nobody reads.
+// TestStalledReader writes lines that nobody reads, and then reads them.
 func TestStalledReader(t *testing.T) {
 	g := NewWithT(t)
 	r, w := io.Pipe()
-	l := NewLines(w, 1_000_000)
+	l := NewLines(w)
 	start := time.Now()
 	for range 10 * queuedLines {
 		_, _ = l.Write([]byte("event=sample\n"))
 	}
 	g.Expect(time.Since(start)).To(BeNumerically("<", writeBound))
+	read := make(chan string)
+	go func() {
+		b, _ := io.ReadAll(r)
+		read <- string(b)
+	}()
+	for len(l.queue) > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	_, _ = l.Write([]byte("event=last\n"))
 	g.Expect(l.Close()).To(Succeed())
-	g.Expect(r.Close()).To(Succeed())
+	g.Expect(w.Close()).To(Succeed())
+	g.Expect(<-read).To(MatchRegexp(`event=lines_unread count=\d+\nevent=last\n$`))
 	_, err := l.Write([]byte("event=late\n"))
 	g.Expect(err).NotTo(HaveOccurred())
 }
@@ -51,7 +58,7 @@
 func TestClosedTwice(t *testing.T) {
 	g := NewWithT(t)
 	var out strings.Builder
-	l := NewLines(&out, 1)
+	l := NewLines(&out)
 	g.Expect(l.Close()).To(Succeed())
 	g.Expect(l.Close()).To(Succeed())
 }
