--- a/arbutus-agent/passthrough/engine_test.go
+++ b/arbutus-agent/passthrough/engine_test.go
@@ -300,3 +300,27 @@
 		g.Expect(r.forwarded[0].h.Target).To(BeNumerically("<", 200))
 	}
 }
+
+// TestPredates tells backend servers that ran before their agent, also after the time of
+// day has jumped back.
+func TestPredates(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		born     time.Duration
+		sequence uint64
+		want     bool
+	}{
+		{"first word", -time.Hour, 1, false},
+		{"started with the machine", -100 * time.Millisecond, 4, false},
+		{"ran before", -time.Hour, 900, true},
+		{"ran before, and the time of day has jumped back", time.Second, 900, true},
+		{"started just before an agent that was restarted", -time.Second, 4, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g, r := NewWithT(t), newRig(t)
+			r.announce(func(a *Announcement) { a.Born += c.born.Milliseconds(); a.Sequence = c.sequence })
+			g.Expect(r.server.mayHoldUnknown(r.now)).To(Equal(c.want))
+			g.Expect(r.server.isFullyKnown(r.now)).To(Equal(!c.want))
+		})
+	}
+}
--- a/arbutus-agent/passthrough/server.go
+++ b/arbutus-agent/passthrough/server.go
@@ -31,6 +31,10 @@
 	// firstAnnouncements is the number of its announcements up to which a backend
 	// server is taken to have started after an agent that heard the first of them.
 	firstAnnouncements = 2
+	// bootAnnouncements is the same where both started with their machine: a backend
+	// server repeats its announcement at once while no agent takes it. The times of
+	// the two starts alone would not do, since the time of day may jump.
+	bootAnnouncements = 6
 	// window is the span in which a cold backend server bears its rate.
 	window = time.Second
 	// restartDelay is less than the time between the end of an agent and the start
@@ -136,7 +140,7 @@
 	}
 	now := s.now()
 	if !s.known || a.ID != s.announced.ID || a.Born != s.announced.Born {
-		s.predates = a.Sequence > firstAnnouncements && a.Born < s.started.Add(-restartDelay).UnixMilli()
+		s.predates = a.Sequence > firstAnnouncements && !s.bootedWith(a)
 		s.logChange("server_started", a)
 	} else if a.Draining != s.announced.Draining || s.gone || s.dead {
 		s.logChange("server_changed", a)
@@ -147,6 +151,11 @@
 	return true
 }
 
+// bootedWith reports whether the backend server started with the agent.
+func (s *Server) bootedWith(a Announcement) bool {
+	return a.Sequence <= bootAnnouncements && a.Born >= s.started.Add(-restartDelay).UnixMilli()
+}
+
 // isOld reports whether the announcement is of an earlier run, or was overtaken.
 func (s *Server) isOld(a Announcement) bool {
 	if a.Born != s.announced.Born && a.Born != 0 && s.announced.Born != 0 {
