Reset flows after a bounded walk once the agents' ranking has settled

Change: a walk that ends at its bound is marked as such, not as uncertain; it is doubted only within 1 s after agents joined or began to take flows, as in the storm of replacements that broke FLOW.

--- a/arbutus-agent/passthrough/inbound.go
+++ b/arbutus-agent/passthrough/inbound.go
@@ -190,7 +190,7 @@
 			return
 		}
 		// An agent that was not visited may hold the flow.
-		h.Marks |= capsule.MarkUncertain
+		h.Marks |= capsule.MarkBounded
 	}
 	e.giveBack(h, p)
 }
--- a/arbutus-balancer/fabric/placement_test.go
+++ b/arbutus-balancer/fabric/placement_test.go
@@ -276,6 +276,30 @@
 	g.Expect(d.resets).To(Equal(1))
 }
 
+// TestBoundedWalkWhileRankingChanges leaves a flow alone that not all agents were asked
+// for while agents join, or begin to take flows (scale-1 of avisos-vial-grown).
+func TestBoundedWalkWhileRankingChanges(t *testing.T) {
+	g, d := NewWithT(t), newDesk(t)
+	b := deskPacket(1, ipv4.FlagACK)
+	unclaimed := func() {
+		for _, service := range []string{"desk", "plots"} {
+			d.forwarder.HandleUnclaimed(capsule.Header{Service: capsule.KeyOf(service), Marks: capsule.MarkBounded}, b)
+		}
+	}
+	joining := agentOf("desk", "north", 9)
+	joining.Phase = member.Joining
+	for _, phase := range []member.Member{joining, joining.WithPhase(member.Serving)} {
+		d.node.Table.Merge(phase)
+		d.node.Rebuild()
+		d.now = time.Now().Add(retellTime - 100*time.Millisecond)
+		unclaimed()
+		g.Expect(d.resets).To(BeZero())
+	}
+	d.now = time.Now().Add(retellTime)
+	unclaimed()
+	g.Expect(d.resets).To(Equal(1))
+}
+
 // TestNoRouteIsRefusedAtOnce refuses a flow to an address that has no route.
 func TestNoRouteIsRefusedAtOnce(t *testing.T) {
 	g, d := NewWithT(t), newDesk(t)
--- a/arbutus-balancer/fabric/unclaimed.go
+++ b/arbutus-balancer/fabric/unclaimed.go
@@ -19,6 +19,10 @@
 // unknown here as yet, as while everything starts.
 const settleTime = 300 * time.Millisecond
 
+// retellTime is how long the keepers of a flow may take to be told after the ranking has
+// changed: its holder hears of that within a heartbeat, and repeats what is lost.
+const retellTime = time.Second
+
 // HandleHeld takes in an agent's word that it holds a flow.
 func (f *Forwarder) HandleHeld(h capsule.Held) {
 	if f.placement != nil {
@@ -75,7 +79,7 @@
 		Target:   agent.Instance,
 		Service:  t.Key,
 		Origin:   f.self.Packet,
-		Marks:    capsule.MarkAsk | h.Marks&capsule.MarkUncertain,
+		Marks:    capsule.MarkAsk | h.Marks&(capsule.MarkUncertain|capsule.MarkBounded),
 	}
 	b := capsule.AppendPacket(make([]byte, 0, datagram.MaxBytes), next, p.Bytes)
 	f.send(b, agent)
@@ -95,7 +99,7 @@
 // servers, and one of them would have claimed the packet.
 func (f *Forwarder) endUnclaimed(h capsule.Header, p frame.Frame) {
 	patience := time.Duration(0)
-	if now := f.placement.now(); h.Marks.Has(capsule.MarkUncertain) || now.Sub(f.node.LastJoin()) < settleTime {
+	if f.isInDoubt(h.Marks, f.placement.now().Sub(f.node.LastJoin())) {
 		patience = orphan.Patience
 	}
 	if p.Flags.Has(ipv4.FlagRST) || !f.placement.orphans.MayReset(p.Key, f.placement.now(), patience) || !f.reset(p) {
@@ -106,3 +110,10 @@
 		"certain", !h.Marks.Has(capsule.MarkUncertain),
 	)
 }
+
+// isInDoubt reports whether an agent may hold a flow that none claimed, if the agents'
+// ranking last changed so long ago.
+func (f *Forwarder) isInDoubt(marks capsule.Marks, settled time.Duration) bool {
+	return marks.Has(capsule.MarkUncertain) || settled < settleTime ||
+		marks.Has(capsule.MarkBounded) && settled < retellTime
+}
--- a/arbutus-balancer/state/node.go
+++ b/arbutus-balancer/state/node.go
@@ -43,8 +43,8 @@
 		heard    map[member.ID]Heard
 		contacts map[string]time.Time
 		blocked  map[string]uint64
-		// agents are the instances of agents that are known to live, joined is when
-		// the last of them became known.
+		// agents are the instances of agents that are known to live, with whether they
+		// have taken flows; joined is when that last changed for one that lives.
 		agents map[uint64]bool
 		joined time.Time
 	}
@@ -192,8 +192,8 @@
 	}
 }
 
-// LastJoin returns when the last agent that lives became known, or when the balancer
-// started.
+// LastJoin returns when an agent last became known, or began to take flows; at least
+// when the balancer started.
 func (n *Node) LastJoin() time.Time {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -217,8 +217,10 @@
 		if m.Role != member.Agent || !m.Phase.Alive() {
 			continue
 		}
-		alive[m.Instance] = true
-		if !n.agents[m.Instance] {
+		settled := m.Phase != member.Joining
+		before, known := n.agents[m.Instance]
+		alive[m.Instance] = settled
+		if !known || before != settled {
 			n.joined = time.Now()
 		}
 	}
--- a/common/protocol/capsule/capsule.go
+++ b/common/protocol/capsule/capsule.go
@@ -62,6 +62,9 @@
 	// MarkUncertain tells that an agent which was visited can't know all flows of
 	// its backend server.
 	MarkUncertain
+	// MarkBounded tells that candidates are left which were not visited. None of them
+	// holds the flow if its keepers were told since the ranking last changed.
+	MarkBounded
 )
 
 // Error is the class of this package's errors.
