--- a/arbutus-lab/sessions/flowserver_test.go
+++ b/arbutus-lab/sessions/flowserver_test.go
@@ -70,21 +70,30 @@
 	if err != nil {
 		return
 	}
+	if e := s.taker(p); e != nil {
+		e.receive(p)
+	}
+}
+
+// taker returns the end that takes the packet. It opens one for a SYN, and gives back
+// packets of flows that are not held.
+func (s *flowServer) taker(p ipv4.Packet) *endpoint {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.conns[p.Key()]
 	switch {
 	case s.deaf:
 	case e != nil && (!p.IsSYN() || p.Sequence()+1 == e.firstNumber()):
-		go e.receive(p)
+		return e
 	case p.IsSYN():
 		s.open(p)
 	default:
 		s.strays[p.Key()]++
-		returned := append([]byte(nil), b...)
+		returned := append([]byte(nil), p.Bytes()...)
 		ipv4.Mark(returned)
 		s.output(returned)
 	}
+	return nil
 }
 
 // firstNumber is the caller's first number, while nothing has been received.
