--- a/arbutus-agent/flow/metrics.go
+++ b/arbutus-agent/flow/metrics.go
@@ -1,14 +1,12 @@
 package flow
 
 import (
-	"sync"
-
 	"github.com/uber-go/tally/v4"
+
+	"arbutusfront.dev/common/state/observe"
 )
 
 func newMetrics(s tally.Scope) metrics {
-	var mu sync.Mutex
-	drops := make(map[string]tally.Counter)
 	return metrics{
 		admitted:     s.Counter("flows_admitted"),
 		passedOn:     s.Counter("packets_passed_on"),
@@ -17,15 +15,6 @@
 		resetOrphans: s.Counter("orphans_reset"),
 		delivered:    s.Counter("packets_delivered"),
 		uploadsCut:   s.Counter("uploads_cut"),
-		dropped: func(reason string) tally.Counter {
-			mu.Lock()
-			defer mu.Unlock()
-			c, ok := drops[reason]
-			if !ok {
-				c = s.Tagged(map[string]string{"reason": reason}).Counter("packets_dropped")
-				drops[reason] = c
-			}
-			return c
-		},
+		dropped:      observe.PacketDrops(s),
 	}
 }
--- a/arbutus-agent/passthrough/observe.go
+++ b/arbutus-agent/passthrough/observe.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"sync"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -11,6 +10,7 @@
 
 	"arbutusfront.dev/common/protocol/capsule"
 	"arbutusfront.dev/common/protocol/frame"
+	"arbutusfront.dev/common/state/observe"
 )
 
 // Error is the class of this package's errors.
@@ -25,8 +25,6 @@
 }
 
 func newMetrics(s tally.Scope) metrics {
-	var mu sync.Mutex
-	dropped := make(map[string]tally.Counter)
 	return metrics{
 		admitted:   s.Counter("flows_admitted"),
 		passedOn:   s.Counter("packets_passed_on"),
@@ -38,16 +36,7 @@
 		reoffered:  s.Counter("flows_reoffered"),
 		sendFailed: s.Counter("sends_failed"),
 		answer:     s.Histogram("answer_seconds", answerBuckets),
-		dropped: func(reason string) tally.Counter {
-			mu.Lock()
-			defer mu.Unlock()
-			c, ok := dropped[reason]
-			if !ok {
-				c = s.Tagged(map[string]string{"reason": reason}).Counter("packets_dropped")
-				dropped[reason] = c
-			}
-			return c
-		},
+		dropped:    observe.PacketDrops(s),
 	}
 }
 
--- a/arbutus-balancer/balancer/peers.go
+++ b/arbutus-balancer/balancer/peers.go
@@ -275,12 +275,12 @@
 	}
 	p.announcer.Handle(ack)
 	p.confirm(ack.GetRevision(), ack.GetRevisionAgeMillis())
-	if known, ok := p.node.Table.Get(monitor.ID()); ok && !p.Synced() {
-		p.request(pull{from: known, members: true})
-	}
-	if known, ok := p.node.Table.Get(monitor.ID()); ok && ack.GetRevision() > p.node.Config.Current().Number() {
-		p.request(pull{from: known, revision: true})
+	known, ok := p.node.Table.Get(monitor.ID())
+	if !ok {
+		return
 	}
+	p.request(pull{from: known, members: !p.Synced()})
+	p.request(pull{from: known, revision: ack.GetRevision() > p.node.Config.Current().Number()})
 }
 
 // revisionAge returns how long ago the store confirmed the revision in force, as it
--- a/common/state/observe/counters.go
+++ b/common/state/observe/counters.go
@@ -1,6 +1,8 @@
 package observe
 
 import (
+	"sync"
+
 	"github.com/uber-go/tally/v4"
 
 	"arbutusfront.dev/common/protocol/link"
@@ -15,6 +17,23 @@
 	return func(d link.Drop) { counters[d].Inc(1) }
 }
 
+// PacketDrops returns a function that returns the counter of packets dropped for a
+// reason. It may be called by several goroutines.
+func PacketDrops(s tally.Scope) func(reason string) tally.Counter {
+	var mu sync.Mutex
+	counters := make(map[string]tally.Counter)
+	return func(reason string) tally.Counter {
+		mu.Lock()
+		defer mu.Unlock()
+		c, ok := counters[reason]
+		if !ok {
+			c = s.Tagged(map[string]string{"reason": reason}).Counter("packets_dropped")
+			counters[reason] = c
+		}
+		return c
+	}
+}
+
 // ControlCounters returns functions that count the messages and bytes of
 // control datagrams sent and read.
 func ControlCounters(s tally.Scope) (sent, read func(bytes int)) {
