--- a/arbutus-lab/store/store.go
+++ b/arbutus-lab/store/store.go
@@ -7,13 +7,16 @@
 //	mux.Handle(s.Handler())
 //	s.SetFaults(store.Faults{Down: true})
 //	fmt.Println(s.Calls())
+//	backup := s.Backup()
+//	s.Restore(backup)
 //
-// An acknowledged write is never lost. A Store is safe for concurrent use.
+// An acknowledged write is lost only through Restore. A Store is safe for concurrent use.
 package store
 
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -26,9 +29,15 @@
 	"arbutusfront.dev/common/protocol/gen/arbutus/store/v1/storev1connect"
 )
 
+// eraHeader is the response header with the number of times that the store has been
+// restored, plus one.
+const eraHeader = "Store-Era"
+
 var (
 	errDown = connect.NewError(connect.CodeUnavailable, errors.New("store is down"))
 	errLost = connect.NewError(connect.CodeUnavailable, errors.New("answer is lost"))
+	// errFuture is the error of a watch from a version that has not been assigned.
+	errFuture = connect.NewError(connect.CodeOutOfRange, errors.New("version has not been assigned"))
 )
 
 type (
@@ -61,12 +70,22 @@
 		leases   map[uint64]lease
 		// version is the last version of an entry or ID of a lease that was assigned.
 		version uint64
+		// era is one more than the number of restores.
+		era uint64
 		// changed is closed and replaced at each change, which wakes the watches.
 		changed chan struct{}
 		faults  Faults
 		calls   Calls
 	}
 
+	// Backup is a copy of a store's contents.
+	Backup struct {
+		entries  map[string]*storev1.Entry
+		previous map[string]*storev1.Entry
+		leases   map[uint64]lease
+		version  uint64
+	}
+
 	// lease is removed with its keys after expires, unless KeepAlive extends it before.
 	lease struct {
 		ttl     time.Duration
@@ -80,13 +99,18 @@
 		entries:  make(map[string]*storev1.Entry),
 		previous: make(map[string]*storev1.Entry),
 		leases:   make(map[uint64]lease),
+		era:      1,
 		changed:  make(chan struct{}),
 	}
 }
 
-// Handler returns the path and handler of the store's service.
+// Handler returns the path and handler of the store's service. All responses contain the
+// store's era at the time when they are sent.
 func (s *Store) Handler() (string, http.Handler) {
-	return storev1connect.NewStoreServiceHandler(s)
+	path, h := storev1connect.NewStoreServiceHandler(s)
+	return path, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.ServeHTTP(&eraWriter{ResponseWriter: w, store: s}, r)
+	})
 }
 
 // SetFaults replaces the faults that the store injects, and wakes all watches.
@@ -97,6 +121,35 @@
 	s.wakeWatches()
 }
 
+// Backup returns a copy of the store's contents.
+func (s *Store) Backup() Backup {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Backup{
+		entries: maps.Clone(s.entries), previous: maps.Clone(s.previous), leases: maps.Clone(s.leases),
+		version: s.version,
+	}
+}
+
+// Restore replaces the store's contents by a backup and begins a new era. Writes and leases
+// since the backup are lost, and their versions and IDs are assigned again. It wakes all
+// watches.
+func (s *Store) Restore(b Backup) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entries, s.previous, s.leases = maps.Clone(b.entries), maps.Clone(b.previous), maps.Clone(b.leases)
+	s.version = b.version
+	s.era++
+	s.wakeWatches()
+}
+
+// Era returns one more than the number of restores.
+func (s *Store) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // Calls returns the number of calls since the start.
 func (s *Store) Calls() Calls {
 	s.mu.Lock()
@@ -178,6 +231,9 @@
 		if s.faults.Down {
 			return nil, errDown
 		}
+		if r.Msg.GetAfterVersion() > s.version {
+			return nil, errFuture
+		}
 		e := s.entries[r.Msg.GetKey()]
 		if e.GetVersion() > r.Msg.GetAfterVersion() {
 			return connect.NewResponse(&storev1.WatchResponse{Changed: true, Entry: e}), nil
