--- a/common/coordination/store/store.go
+++ b/common/coordination/store/store.go
@@ -15,6 +15,7 @@
 import (
 	"context"
 	"encoding/hex"
+	"errors"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -77,8 +78,8 @@
 var Error = errs.Class("store")
 
 type (
-	// Entry is the value of a key. Its version increases with each write; version 0
-	// means that the key does not exist.
+	// Entry is the value of a key. Its version increases with each write of the same era;
+	// version 0 means that the key does not exist.
 	Entry struct {
 		Key     string
 		Value   []byte
@@ -115,19 +116,24 @@
 		Grant func(ctx context.Context, ttl time.Duration) (lease uint64, err error)
 		// KeepAlive renews a lease, and reports whether it still exists.
 		KeepAlive func(ctx context.Context, lease uint64) (alive bool, err error)
+		// Eras tracks the store's era, which the calls record.
+		Eras *Eras
 	}
 )
 
-// Connect returns a client of the store at the URL. Each call has its own deadline.
+// Connect returns a client of the store at the URL. Each call has its own deadline. A call
+// whose response belongs to a former era fails with ErrFormerEra.
 func Connect(client *http.Client, url string) *Client {
 	rpc := storev1connect.NewStoreServiceClient(client, url)
+	eras := NewEras()
 	return &Client{
+		Eras: eras,
 		Get: func(ctx context.Context, key string) (Entry, error) {
-			out, err := call(ctx, callTimeout, rpc.Get, &storev1.GetRequest{Key: key})
+			out, err := call(ctx, eras, callTimeout, rpc.Get, &storev1.GetRequest{Key: key})
 			return decode(key, out.GetEntry()), err
 		},
 		List: func(ctx context.Context, prefix string) ([]Entry, error) {
-			out, err := call(ctx, callTimeout, rpc.List, &storev1.ListRequest{Prefix: prefix})
+			out, err := call(ctx, eras, callTimeout, rpc.List, &storev1.ListRequest{Prefix: prefix})
 			entries := make([]Entry, 0, len(out.GetEntries()))
 			for _, e := range out.GetEntries() {
 				entries = append(entries, decode(e.GetKey(), e))
@@ -135,7 +141,7 @@
 			return entries, err
 		},
 		CompareAndSwap: func(ctx context.Context, w Write) (Swap, error) {
-			out, err := call(ctx, callTimeout, rpc.CompareAndSwap, &storev1.CompareAndSwapRequest{
+			out, err := call(ctx, eras, callTimeout, rpc.CompareAndSwap, &storev1.CompareAndSwapRequest{
 				Key:             w.Key,
 				ExpectedVersion: w.ExpectedVersion,
 				Value:           w.Value,
@@ -145,17 +151,17 @@
 			return Swap{Swapped: out.GetSwapped(), Entry: decode(w.Key, out.GetEntry())}, err
 		},
 		Watch: func(ctx context.Context, key string, after uint64, wait time.Duration) (Entry, error) {
-			out, err := call(ctx, wait+callTimeout, rpc.Watch, &storev1.WatchRequest{
+			out, err := call(ctx, eras, wait+callTimeout, rpc.Watch, &storev1.WatchRequest{
 				Key: key, AfterVersion: after, WaitMillis: uint32(wait.Milliseconds()),
 			})
 			return decode(key, out.GetEntry()), err
 		},
 		Grant: func(ctx context.Context, ttl time.Duration) (uint64, error) {
-			out, err := call(ctx, callTimeout, rpc.Grant, &storev1.GrantRequest{TtlMillis: uint32(ttl.Milliseconds())})
+			out, err := call(ctx, eras, callTimeout, rpc.Grant, &storev1.GrantRequest{TtlMillis: uint32(ttl.Milliseconds())})
 			return out.GetLease(), err
 		},
 		KeepAlive: func(ctx context.Context, lease uint64) (bool, error) {
-			out, err := call(ctx, callTimeout, rpc.KeepAlive, &storev1.KeepAliveRequest{Lease: lease})
+			out, err := call(ctx, eras, callTimeout, rpc.KeepAlive, &storev1.KeepAliveRequest{Lease: lease})
 			return out.GetAlive(), err
 		},
 	}
@@ -165,6 +171,7 @@
 // getters return zero values.
 func call[I, O any](
 	ctx context.Context,
+	eras *Eras,
 	timeout time.Duration,
 	rpc func(context.Context, *connect.Request[I]) (*connect.Response[O], error),
 	in *I,
@@ -173,6 +180,12 @@
 	defer cancel()
 	out, err := rpc(ctx, connect.NewRequest(in))
 	if err != nil {
+		if failed := new(connect.Error); errors.As(err, &failed) {
+			err = errors.Join(err, eras.Observe(EraOf(failed.Meta())))
+		}
+		return nil, Error.Wrap(err)
+	}
+	if err := eras.Observe(EraOf(out.Header())); err != nil {
 		return nil, Error.Wrap(err)
 	}
 	return out.Msg, nil
