--- a/arbutus-balancer/store/ledger.go
+++ b/arbutus-balancer/store/ledger.go
@@ -58,7 +58,8 @@
 
 		// version is the version of the ledger's key in the store, lastValue the value
 		// that was last written, and leaseID the lease under which it is stored; 0 for
-		// none.
+		// none. All are those of the store's era.
+		era       uint64
 		version   uint64
 		lastValue []byte
 		leaseID   uint64
@@ -133,13 +134,17 @@
 	return max(ledgerInterval, time.Duration(len(balancers))*time.Second/ledgerWritesPerSecond)
 }
 
-// write stores the ledger if it differs from the last value written. If the stored ledger
-// has another version than expected, write only records that version for the next call.
+// write stores the ledger if it differs from the last value written, or if the store has been
+// restored since. If the stored ledger has another version than expected, write only records
+// that version for the next call.
 func (l *Ledger) write(ctx context.Context) error {
 	value, err := encodeLedger(l.remembered())
 	if err != nil {
 		return err
 	}
+	if era := l.client.Eras.Current(); era != l.era {
+		l.era, l.leaseID, l.lastValue = era, 0, nil
+	}
 	if bytes.Equal(value, l.lastValue) {
 		return nil
 	}
@@ -150,7 +155,8 @@
 	swap, err := l.client.CompareAndSwap(ctx, w)
 	if err != nil {
 		// The write may have taken effect. The next one then fails its compare-and-swap
-		// and returns the current version.
+		// and returns the current version. The lease may be gone, so it is renewed first.
+		l.renewedAt = time.Time{}
 		return err
 	}
 	l.version = swap.Entry.Version
--- a/arbutus-balancer/store/ledger_test.go
+++ b/arbutus-balancer/store/ledger_test.go
@@ -32,10 +32,14 @@
 	loseResponse bool
 	grants       uint64
 	leaseEnded   bool
+	eras         *store.Eras
+	// leases has the leases under which the entry was written, in order.
+	leases []uint64
 }
 
 func (s *singleKeyStore) client() *store.Client {
 	return &store.Client{
+		Eras: s.eras,
 		Get: func(context.Context, string) (store.Entry, error) {
 			if s.unreachable.Load() {
 				return store.Entry{}, errUnreachable
@@ -50,6 +54,7 @@
 				return store.Swap{Entry: s.entry}, nil
 			}
 			s.writes++
+			s.leases = append(s.leases, w.Lease)
 			s.entry = store.Entry{Key: w.Key, Value: w.Value, Version: s.entry.Version + 1}
 			if s.loseResponse {
 				s.loseResponse = false
@@ -142,6 +147,24 @@
 	})
 }
 
+// TestLedgerIsWrittenAgainAfterRestore guards against flows that are lost with the next power
+// loss: a restored store has an older ledger or none, and not the lease of the latest one.
+func TestLedgerIsWrittenAgainAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, s := NewWithT(t), &singleKeyStore{eras: store.NewEras()}
+		g.Expect(s.eras.Observe(1)).To(Succeed())
+		flows := rememberedFlows(3)
+		runLedger(s, flows, 0, func() {
+			time.Sleep(10 * time.Second)
+			s.entry = store.Entry{}
+			g.Expect(s.eras.Observe(2)).To(Succeed())
+			time.Sleep(2*ledgerInterval + time.Second)
+			g.Expect(s.leases).To(Equal([]uint64{1, 2}), "one write in each era, with a lease of that era")
+		})
+		g.Expect(runLedger(s, nil, time.Second, nil)).To(Equal(flows))
+	})
+}
+
 // TestLedgerBounds guards against an overloaded store in a large fleet: the writes of all
 // balancers together and the size of a value must remain within their bounds.
 func TestLedgerBounds(t *testing.T) {
