--- a/arbutus-balancer/serve/server.go
+++ b/arbutus-balancer/serve/server.go
@@ -17,6 +17,7 @@
 	"arbutusfront.dev/arbutus-balancer/operator"
 	"arbutusfront.dev/arbutus-balancer/state"
 	"arbutusfront.dev/arbutus-balancer/store"
+	"arbutusfront.dev/common/coordination/config"
 	"arbutusfront.dev/common/coordination/heartbeat"
 	"arbutusfront.dev/common/coordination/member"
 	"arbutusfront.dev/common/protocol/link"
@@ -86,6 +87,9 @@
 	return err
 }
 
+// Revision returns the revision in force, or nil if there is none.
+func (s *Server) Revision() *config.Revision { return s.node.Config.Current() }
+
 // runParts starts the parts that the mode enables, except the HTTP server, and returns the
 // channels that receive the result of each.
 func (s *Server) runParts(ctx context.Context) []<-chan error {
