--- a/arbutus-balancer/serve/mode.go
+++ b/arbutus-balancer/serve/mode.go
@@ -31,9 +31,9 @@
 	// StoredFlows enables saving the flows that the balancer remembers in the store, for
 	// its next run.
 	StoredFlows bool
-	// ReadOnlyConfig disables the removal of unreferenced chunks from the store. It is
-	// set if another system writes the configuration, and also removes what is no longer
-	// needed.
+	// ReadOnlyConfig disables the removal of unreferenced chunks from the store, and
+	// writing back what a restored store has lost. It is set if another system writes the
+	// configuration, and also does both.
 	ReadOnlyConfig bool
 	// SkipsContactCheck lets the balancer forward while it receives nothing from other
 	// failure domains.
--- a/arbutus-balancer/serve/providers.go
+++ b/arbutus-balancer/serve/providers.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log"
@@ -162,7 +163,11 @@
 }
 
 func provideWatcher(c clients, n *state.Node, self member.Member, l log.Logger, m Mode) *store.Watcher {
-	return store.New(c.store, n, self, l, m.Watch...)
+	opts := slices.Clone(m.Watch)
+	if m.ReadOnlyConfig {
+		opts = append(opts, store.WithReadOnly())
+	}
+	return store.New(c.store, n, self, l, opts...)
 }
 
 func provideRegistrar(c clients, n *state.Node, self member.Member, l log.Logger) *store.Registrar {
--- a/arbutus-balancer/store/watcher.go
+++ b/arbutus-balancer/store/watcher.go
@@ -50,18 +50,25 @@
 	chunkSpread = 16 * time.Millisecond
 	// watchWait is the default time that one watch waits for a change.
 	watchWait = 10 * time.Second
+	// writeBackSpread spreads the attempts of several watchers to write back a head that
+	// the store has lost. Most then find that another one has written it.
+	writeBackSpread = 500 * time.Millisecond
 )
 
 var retry = wait.Backoff{First: 100 * time.Millisecond, Limit: 5 * time.Second}
 
 type (
 	// Watcher watches the configuration's head while its balancer is elected for it, and
-	// adopts new revisions.
+	// adopts new revisions. It writes the revision in force back to a store that has lost
+	// it.
 	Watcher struct {
 		client *store.Client
-		node   *state.Node
-		self   member.Member
-		log    log.Logger
+		// applier writes revisions back; nil if another system writes the
+		// configuration.
+		applier *config.Applier
+		node    *state.Node
+		self    member.Member
+		log     log.Logger
 		// pause and spread are those of WithStart; chunkSpread defaults to the constant.
 		pause       time.Duration
 		spread      time.Duration
@@ -97,11 +104,16 @@
 // the chunks at hand once it has the head.
 func WithoutChunkSpread() Option { return func(w *Watcher) { w.chunkSpread = 0 } }
 
+// WithReadOnly disables writing revisions back to the store. It is for stores in which another
+// system writes the configuration.
+func WithReadOnly() Option { return func(w *Watcher) { w.applier = nil } }
+
 // New returns a watcher for the balancer self.
 func New(client *store.Client, node *state.Node, self member.Member, logger log.Logger, opts ...Option) *Watcher {
 	w := &Watcher{
 		client: client, node: node, self: self, log: logger, pause: startPause, spread: startSpread,
 		chunkSpread: chunkSpread, wait: watchWait, watchers: watchersPerDomain,
+		applier: config.NewApplier(client),
 	}
 	for _, opt := range opts {
 		opt(w)
@@ -121,9 +133,17 @@
 
 func (w *Watcher) run(ctx context.Context) {
 	var version uint64
+	era := w.client.Eras.Current()
 	failures := 0
 	pause := w.pause + rand.N(w.spread)
 	for wait.For(ctx, pause) {
+		if current := w.client.Eras.Current(); current != era {
+			w.logEra(era, current)
+			if era != 0 {
+				version = 0
+			}
+			era = current
+		}
 		if !w.mustWatch() {
 			pause = w.electionPause()
 			continue
@@ -142,6 +162,16 @@
 	}
 }
 
+// logEra logs the store's first era that is known, or a later one.
+func (w *Watcher) logEra(former, current uint64) {
+	event := "store_restored"
+	if former == 0 {
+		event = "store_era"
+	}
+	_ = level.Info(w.log).Log(
+		"event", event, "era", current, "former", former, "revision", w.node.Config.Current().Number())
+}
+
 // mustWatch reports whether this balancer is to watch the store now: it is elected, or
 // its last confirmation is stale.
 func (w *Watcher) mustWatch() bool {
@@ -163,27 +193,38 @@
 // watchOnce waits for a head later than the version, adopts its revision if that is newer,
 // and returns the head's version. If no such head comes in time, it returns the version
 // unchanged. In both cases the store has confirmed the revision in force, which
-// watchOnce records. The store client's timeout ends a stalled watch.
+// watchOnce records. If the store is restored meanwhile, versions start again, and watchOnce
+// returns 0. The store client's timeout ends a stalled watch.
 func (w *Watcher) watchOnce(ctx context.Context, version uint64) (uint64, error) {
+	era := w.client.Eras.Current()
 	e, err := w.client.Watch(ctx, store.KeyHead, version, w.wait)
 	if err != nil {
 		return version, err
 	}
+	if era != 0 && era != w.client.Eras.Current() {
+		return 0, nil
+	}
+	known := w.node.Config.Current()
 	if e.Version <= version {
-		w.node.Config.Confirm(w.node.Config.Current().Number(), time.Now())
+		w.node.Config.Confirm(known.Number(), time.Now())
+		if e.Version == 0 && known != nil {
+			return 0, w.writeBack(ctx, known)
+		}
 		return version, nil
 	}
 	var head controlv1.Head
 	if err := proto.Unmarshal(e.Value, &head); err != nil {
 		return version, err
 	}
-	known := w.node.Config.Current()
 	if missing := len(known.Missing(&head)); missing > 1 && w.chunkSpread > 0 {
 		wait.For(ctx, rand.N(w.chunkSpread*time.Duration(missing)))
 		known = w.node.Config.Current()
 	}
 	if head.GetRevision() <= known.Number() {
 		w.node.Config.Confirm(known.Number(), time.Now())
+		if head.GetRevision() < known.Number() {
+			return e.Version, w.writeBack(ctx, known)
+		}
 		return e.Version, nil
 	}
 	values, err := config.ReadChunks(ctx, w.client, known, &head)
@@ -201,3 +242,17 @@
 	}
 	return e.Version, nil
 }
+
+// writeBack writes the revision, which the store has lost, to the store. It leaves that to the
+// other watchers if one of them has done so after a random time.
+func (w *Watcher) writeBack(ctx context.Context, r *config.Revision) error {
+	if w.applier == nil || !wait.For(ctx, rand.N(writeBackSpread)) {
+		return nil
+	}
+	written, err := w.applier.WriteBack(ctx, r)
+	if written {
+		_ = level.Warn(w.log).Log(
+			"event", "head_written_back", "revision", r.Number(), "era", w.client.Eras.Current())
+	}
+	return err
+}
--- a/arbutus-lab/sessions/apply_test.go
+++ b/arbutus-lab/sessions/apply_test.go
@@ -9,7 +9,6 @@
 	"testing"
 	"time"
 
-	"connectrpc.com/connect"
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
@@ -17,7 +16,6 @@
 	"arbutusfront.dev/common/coordination/config"
 	kvstore "arbutusfront.dev/common/coordination/store"
 	controlv1 "arbutusfront.dev/common/protocol/gen/arbutus/control/v1"
-	storev1 "arbutusfront.dev/common/protocol/gen/arbutus/store/v1"
 )
 
 const (
@@ -28,56 +26,6 @@
 	followerCount = 3
 )
 
-// directClient returns a store client that calls s directly, without a network.
-func directClient(s *store.Store) *kvstore.Client {
-	entry := func(e *storev1.Entry) kvstore.Entry {
-		return kvstore.Entry{Key: e.GetKey(), Value: e.GetValue(), Version: e.GetVersion()}
-	}
-	return &kvstore.Client{
-		Get: func(ctx context.Context, key string) (kvstore.Entry, error) {
-			out, err := s.Get(ctx, connect.NewRequest(&storev1.GetRequest{Key: key}))
-			if err != nil {
-				return kvstore.Entry{}, err
-			}
-			return entry(out.Msg.GetEntry()), nil
-		},
-		List: func(ctx context.Context, prefix string) ([]kvstore.Entry, error) {
-			out, err := s.List(ctx, connect.NewRequest(&storev1.ListRequest{Prefix: prefix}))
-			if err != nil {
-				return nil, err
-			}
-			var entries []kvstore.Entry
-			for _, e := range out.Msg.GetEntries() {
-				entries = append(entries, entry(e))
-			}
-			return entries, nil
-		},
-		Grant: func(ctx context.Context, ttl time.Duration) (uint64, error) {
-			out, err := s.Grant(ctx, connect.NewRequest(&storev1.GrantRequest{TtlMillis: uint32(ttl.Milliseconds())}))
-			if err != nil {
-				return 0, err
-			}
-			return out.Msg.GetLease(), nil
-		},
-		KeepAlive: func(ctx context.Context, lease uint64) (bool, error) {
-			out, err := s.KeepAlive(ctx, connect.NewRequest(&storev1.KeepAliveRequest{Lease: lease}))
-			if err != nil {
-				return false, err
-			}
-			return out.Msg.GetAlive(), nil
-		},
-		CompareAndSwap: func(ctx context.Context, w kvstore.Write) (kvstore.Swap, error) {
-			out, err := s.CompareAndSwap(ctx, connect.NewRequest(&storev1.CompareAndSwapRequest{
-				Key: w.Key, ExpectedVersion: w.ExpectedVersion, Value: w.Value, Lease: w.Lease, Delete: w.Delete,
-			}))
-			if err != nil {
-				return kvstore.Swap{}, err
-			}
-			return kvstore.Swap{Swapped: out.Msg.GetSwapped(), Entry: entry(out.Msg.GetEntry())}, nil
-		},
-	}
-}
-
 // reportedOutcomes records the outcome that each apply reported, by apply ID. accepted has the
 // revision. notAccepted also contains applies that changed nothing.
 type reportedOutcomes struct {
--- a/arbutusctl/session/session.go
+++ b/arbutusctl/session/session.go
@@ -72,6 +72,10 @@
 		// Status returns the state of all members, as the first reachable balancer
 		// reports it.
 		Status func(ctx context.Context) (*controlv1.StatusResponse, error)
+		// InForce returns the latest revision that a balancer of the settings has in
+		// force. It fails if none responds with a revision. What the revision shares
+		// with known, which may be nil, is not transferred.
+		InForce func(ctx context.Context, known *config.Revision) (*config.Revision, error)
 		// Push sends a revision to all balancers of the settings and returns how many
 		// accepted it. It fails if none did.
 		Push func(ctx context.Context, r *config.Revision) (int, error)
@@ -124,7 +128,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return config.NewApplier(client), nil
+	peers, err := s.Peers()
+	if err != nil {
+		return nil, err
+	}
+	return config.NewApplier(client, config.WithInForce(peers.InForce)), nil
 }
 
 // Confirm prompts the user with the question and returns a CanceledError unless the answer
@@ -190,6 +198,13 @@
 		Status: func(ctx context.Context) (*controlv1.StatusResponse, error) {
 			return firstResponse(ctx, o.Balancers, client.Status)
 		},
+		InForce: func(ctx context.Context, known *config.Revision) (*config.Revision, error) {
+			return latestRevision(ctx, o.Balancers, func(
+				ctx context.Context, address netip.AddrPort,
+			) (*config.Revision, error) {
+				return client.Revision(ctx, address, known)
+			})
+		},
 		Push: func(ctx context.Context, r *config.Revision) (int, error) {
 			return pushAll(ctx, o.Balancers, func(ctx context.Context, address netip.AddrPort) error {
 				_, err := client.Push(ctx, address, key, r)
@@ -220,30 +235,6 @@
 	}
 }
 
-// pushAll calls push for all balancers concurrently and waits for all calls. It returns the
-// number of calls that succeeded, or the last error if none did.
-func pushAll(
-	ctx context.Context, balancers []netip.AddrPort, push func(context.Context, netip.AddrPort) error,
-) (int, error) {
-	results := make(chan error, len(balancers))
-	for _, address := range balancers {
-		go func() { results <- push(ctx, address) }()
-	}
-	accepted := 0
-	var lastErr error
-	for range balancers {
-		if err := <-results; err != nil {
-			lastErr = err
-			continue
-		}
-		accepted++
-	}
-	if accepted == 0 {
-		return 0, lastErr
-	}
-	return accepted, nil
-}
-
 // currentUser returns the name of the user who runs the program, or "unknown".
 func currentUser() string {
 	u, err := user.Current()
--- a/common/coordination/config/abridge.go
+++ b/common/coordination/config/abridge.go
@@ -38,6 +38,7 @@
 		Abridged: true,
 		Head: &controlv1.Head{
 			Revision: r.Head.GetRevision(), Digest: r.Head.GetDigest(), Accepted: r.Head.GetAccepted(),
+			StoreEra: r.Head.GetStoreEra(),
 		},
 	}
 	for _, a := range r.Head.GetHistory() {
--- a/common/coordination/config/apply.go
+++ b/common/coordination/config/apply.go
@@ -14,9 +14,6 @@
 const (
 	// historyLength is the number of earlier applies that a head lists.
 	historyLength = 64
-	// maxSingleReads is the largest number of missing chunks that are read with one
-	// call each. Beyond it, all chunks are read with a single List call.
-	maxSingleReads = 16
 )
 
 var retryBackoff = wait.Backoff{First: 20 * time.Millisecond, Limit: 500 * time.Millisecond}
@@ -37,6 +34,10 @@
 	// Unknown means that the write of the head may have taken effect, or may still
 	// do so: its response was lost or can't be decoded.
 	Unknown Result = "unknown"
+
+	// restored means that the store was restored from a backup during the apply. It is
+	// unknown whether the apply took effect, and whether that was kept.
+	restored Result = "restored"
 )
 
 type (
@@ -77,40 +78,76 @@
 
 	// Applier writes configurations to the store, which puts them in force.
 	Applier struct {
-		store *store.Client
-		now   func() time.Time
+		store   *store.Client
+		now     func() time.Time
+		inForce func(ctx context.Context, known *Revision) (*Revision, error)
 	}
 
-	// storedRevision is a revision as read from the store, with the version of the
-	// head's key. It is zero if there is no head yet.
-	storedRevision struct {
+	// Option changes how an Applier is built.
+	Option func(*Applier)
+
+	// base is the revision in force that an apply changes, and what the store has: the
+	// version of the head's key, and the revision of that head. Stored is older than
+	// revision if the store has been restored from a backup. All are zero if there is no
+	// head yet. Era is the store's era in which the head was read.
+	base struct {
 		revision *Revision
+		stored   *Revision
 		version  uint64
+		era      uint64
 	}
 )
 
+// WithInForce sets the function that queries the processes for the latest revision that any of
+// them has in force. The Applier calls it with the store's revision if the store may have lost
+// a later one. It may return nil if no process has a configuration.
+func WithInForce(f func(ctx context.Context, known *Revision) (*Revision, error)) Option {
+	return func(a *Applier) { a.inForce = f }
+}
+
 // NewApplier returns an Applier that writes to the store.
-func NewApplier(s *store.Client) *Applier { return &Applier{store: s, now: time.Now} }
+func NewApplier(s *store.Client, opts ...Option) *Applier {
+	a := &Applier{store: s, now: time.Now}
+	for _, opt := range opts {
+		opt(a)
+	}
+	return a
+}
 
 // Apply writes the proposal's chunks and then puts them in force with one
 // compare-and-swap of the head. Failed calls are retried until ctx is canceled; if the
-// response of a swap was lost, the head's history shows whether the swap took effect. An
-// error from Change is returned unwrapped, with the result NotAccepted.
+// response of a swap was lost, the head's history shows whether the swap took effect. If the
+// store is restored from a backup meanwhile, Apply starts again. An error from Change is
+// returned unwrapped, with the result NotAccepted.
 func (a *Applier) Apply(ctx context.Context, p Proposal) Outcome {
 	rebased := false
-	for {
+	for attempt := 0; ; attempt++ {
 		b, err := a.readWithRetry(ctx)
-		if err != nil {
+		if err != nil && attempt == 0 {
 			return Outcome{Result: NotAccepted, Err: err}
 		}
+		if err != nil {
+			return Outcome{Result: Unknown, Err: err}
+		}
+		if attempt > 0 && b.revision.contains(p.ID) {
+			return Outcome{Result: Accepted, Revision: b.revision.Number(), Current: b.revision, Rebased: rebased}
+		}
 		if p.BaseRevision != nil && *p.BaseRevision != b.revision.Number() {
 			return Outcome{Result: Conflict, Revision: b.revision.Number(), Current: b.revision}
 		}
 		outcome := a.applyTo(ctx, b, p)
 		outcome.Rebased = rebased
-		if outcome.Result == Conflict && outcome.Revision == b.revision.Number() && ctx.Err() == nil {
-			// The collector has rewritten the head unchanged, which raises its
-			// version, because it is about to remove unreferenced chunks.
+		if outcome.Result == restored {
+			if ctx.Err() == nil {
+				continue
+			}
+			outcome.Result = Unknown
+		}
+		if outcome.Result == Conflict && ctx.Err() == nil &&
+			(outcome.Revision == b.revision.Number() || outcome.Revision == b.stored.Number()) {
+			// The head has another version, but not another revision: the collector
+			// has written it again because it is about to remove unreferenced chunks,
+			// or a balancer has written back what the store had lost.
 			continue
 		}
 		if outcome.Result != Conflict || ctx.Err() != nil || !p.canRebase(b.revision, outcome) {
@@ -146,14 +183,15 @@
 	return err == nil && len(remaining) == 0
 }
 
-// Read returns the revision that the store has in force, or nil if there is none.
+// Read returns the revision in force, or nil if there is none. That is the store's, unless the
+// store has lost a later one.
 func (a *Applier) Read(ctx context.Context) (*Revision, error) {
 	b, err := a.read(ctx)
 	return b.revision, err
 }
 
 // applyTo makes one attempt to apply the proposal on top of the revision b.
-func (a *Applier) applyTo(ctx context.Context, b storedRevision, p Proposal) Outcome {
+func (a *Applier) applyTo(ctx context.Context, b base, p Proposal) Outcome {
 	cfg, err := p.Change(b.revision)
 	if err != nil {
 		return Outcome{Result: NotAccepted, Current: b.revision, Err: err}
@@ -168,36 +206,58 @@
 		Summary:    p.Summary,
 		UnixMillis: a.now().UnixMilli(),
 	})
+	head.StoreEra = b.era
 	if string(head.GetDigest()) == string(b.revision.head().GetDigest()) {
 		return Outcome{Result: Unchanged, Revision: b.revision.Number(), Current: b.revision}
 	}
+	if err := a.writeChunks(ctx, chunks, b.stored); err != nil {
+		return Outcome{Result: NotAccepted, Current: b.revision, Err: err}
+	}
+	outcome := a.swapHead(ctx, b, head, chunks)
+	outcome.proposed = cfg
+	return outcome
+}
+
+// writeChunks writes the chunks that the stored head does not reference.
+func (a *Applier) writeChunks(ctx context.Context, chunks []Chunk, stored *Revision) error {
 	for _, c := range chunks {
-		if _, ok := b.revision.Chunk(c.Digest[:]); ok {
+		if _, ok := stored.Chunk(c.Digest[:]); ok {
 			continue
 		}
 		if err := a.writeChunk(ctx, c); err != nil {
-			return Outcome{Result: NotAccepted, Current: b.revision, Err: err}
+			return err
 		}
 	}
-	outcome := a.swapHead(ctx, b, head, chunks)
-	outcome.proposed = cfg
-	return outcome
+	return nil
 }
 
 // swapHead retries the compare-and-swap of the head until its outcome is known or ctx
 // is canceled. Retrying is idempotent: the expected version lets at most one of the attempts
-// take effect.
-func (a *Applier) swapHead(ctx context.Context, b storedRevision, head *controlv1.Head, chunks []Chunk) Outcome {
+// take effect. That holds only within one era of the store, so the era is checked before each
+// further attempt.
+func (a *Applier) swapHead(ctx context.Context, b base, head *controlv1.Head, chunks []Chunk) Outcome {
 	value, err := proto.Marshal(head)
 	if err != nil {
 		return Outcome{Result: NotAccepted, Current: b.revision, Err: Error.Wrap(err)}
 	}
 	w := store.Write{Key: store.KeyHead, ExpectedVersion: b.version, Value: value}
 	var swap store.Swap
+	attempts := 0
 	err = retry(ctx, func() error {
+		if attempts++; attempts > 1 {
+			if _, err := a.store.Get(ctx, store.KeyHead); err != nil {
+				return err
+			}
+		}
+		if a.store.Eras.Current() != b.era {
+			return nil
+		}
 		swap, err = a.store.CompareAndSwap(ctx, w)
 		return err
 	})
+	if a.store.Eras.Current() != b.era {
+		return Outcome{Result: restored, Revision: head.GetRevision(), Current: b.revision, Err: err}
+	}
 	if err != nil {
 		return Outcome{Result: Unknown, Revision: head.GetRevision(), Current: b.revision, Err: err}
 	}
@@ -250,17 +310,6 @@
 	}
 }
 
-// readWithRetry reads the head and its chunks, and retries until it succeeds or ctx is
-// canceled.
-func (a *Applier) readWithRetry(ctx context.Context) (storedRevision, error) {
-	var b storedRevision
-	err := retry(ctx, func() (err error) {
-		b, err = a.read(ctx)
-		return err
-	})
-	return b, err
-}
-
 // retry calls f with backoff until it succeeds or ctx is canceled. In the latter case it
 // returns the last error from before ctx was canceled, as that one shows the cause.
 func retry(ctx context.Context, f func() error) error {
@@ -279,65 +328,6 @@
 	}
 }
 
-func (a *Applier) read(ctx context.Context) (storedRevision, error) {
-	e, err := a.store.Get(ctx, store.KeyHead)
-	if err != nil || e.Version == 0 {
-		return storedRevision{}, err
-	}
-	var head controlv1.Head
-	if err := proto.Unmarshal(e.Value, &head); err != nil {
-		return storedRevision{}, Error.Wrap(err)
-	}
-	r, err := a.assemble(ctx, &head)
-	return storedRevision{revision: r, version: e.Version}, err
-}
-
-func (a *Applier) assemble(ctx context.Context, head *controlv1.Head) (*Revision, error) {
-	values, err := ReadChunks(ctx, a.store, nil, head)
-	if err != nil {
-		return nil, err
-	}
-	return Assemble(head, values)
-}
-
-// ReadChunks returns the contents of the chunks that the head references. Chunks that
-// known contains are taken from it, the others are read from the store. If more than
-// maxSingleReads are missing, it reads all chunks with one List call, so the result may
-// contain chunks that the head doesn't reference.
-func ReadChunks(ctx context.Context, s *store.Client, known *Revision, head *controlv1.Head) ([][]byte, error) {
-	missing := known.Missing(head)
-	if len(missing) > maxSingleReads {
-		return listChunks(ctx, s)
-	}
-	var values [][]byte
-	for _, ref := range head.GetChunks() {
-		if c, ok := known.Chunk(ref.GetDigest()); ok {
-			values = append(values, c.Value)
-		}
-	}
-	for _, digest := range missing {
-		e, err := s.Get(ctx, store.ChunkKey(digest))
-		if err != nil {
-			return nil, err
-		}
-		values = append(values, e.Value)
-	}
-	return values, nil
-}
-
-// listChunks returns the contents of all chunks in the store.
-func listChunks(ctx context.Context, s *store.Client) ([][]byte, error) {
-	entries, err := s.List(ctx, store.PrefixChunk)
-	if err != nil {
-		return nil, err
-	}
-	values := make([][]byte, 0, len(entries))
-	for _, e := range entries {
-		values = append(values, e.Value)
-	}
-	return values, nil
-}
-
 func (r *Revision) head() *controlv1.Head {
 	if r == nil {
 		return nil
--- a/common/coordination/config/revision.go
+++ b/common/coordination/config/revision.go
@@ -5,6 +5,8 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 
 	"github.com/go-json-experiment/json"
@@ -172,6 +174,14 @@
 	return c, ok
 }
 
+// Chunks returns all chunks, in no particular order; a nil Revision has none.
+func (r *Revision) Chunks() []Chunk {
+	if r == nil {
+		return nil
+	}
+	return slices.Collect(maps.Values(r.chunks))
+}
+
 // Values returns the contents of all chunks.
 func (r *Revision) Values() [][]byte {
 	values := make([][]byte, 0, len(r.chunks))
