--- a/arbutus-balancer/store/collector.go
+++ b/arbutus-balancer/store/collector.go
@@ -44,8 +44,9 @@
 	// shard is the part that was listed last.
 	shard int
 	// unreferencedVersions holds the versions of the chunks that were unreferenced when
-	// they were last listed, by key.
+	// they were last listed, by key. The versions are those of the store's era.
 	unreferencedVersions map[string]uint64
+	era                  uint64
 }
 
 // NewCollector returns a collector for the balancer self.
@@ -90,7 +91,8 @@
 }
 
 // collect removes the chunks with the prefix that the head does not reference, and did not
-// reference when they were last listed. Before the first removal it writes the head
+// reference when they were last listed. It writes back those that the head references and
+// the store lacks. Before the first removal it writes the head
 // again, unchanged: an apply that has read the head
 // earlier and relies on one of these chunks then fails its compare-and-swap. An apply
 // that reads the head later writes each chunk that the head does not reference. The
@@ -108,6 +110,14 @@
 	if err != nil {
 		return err
 	}
+	if era := c.client.Eras.Current(); era != c.era {
+		// The versions of the former era are assigned again.
+		c.era = era
+		clear(c.unreferencedVersions)
+	}
+	if err := c.writeMissing(ctx, entries, referenced, prefix); err != nil {
+		return err
+	}
 	c.pruneRemoved(entries, prefix)
 	garbage := c.selectGarbage(entries, referenced)
 	if len(garbage) == 0 || !c.lease.Held() {
@@ -122,6 +132,29 @@
 	return c.remove(ctx, garbage)
 }
 
+// writeMissing writes the referenced chunks with the prefix that are not among the entries, if
+// the revision in force contains them. A chunk can be lost if its removal takes effect after
+// the store was restored, when the listed version has been assigned again.
+func (c *Collector) writeMissing(
+	ctx context.Context, entries []store.Entry, referenced map[string]bool, prefix string,
+) error {
+	missing := maps.Clone(referenced)
+	for _, e := range entries {
+		delete(missing, e.Key)
+	}
+	for _, chunk := range c.node.Config.Current().Chunks() {
+		key := store.ChunkKey(chunk.Digest[:])
+		if !missing[key] || !strings.HasPrefix(key, prefix) {
+			continue
+		}
+		if _, err := c.client.CompareAndSwap(ctx, store.Write{Key: key, Value: chunk.Value}); err != nil {
+			return err
+		}
+		_ = level.Warn(c.log).Log("event", "chunk_written_back", "chunk", chunk.Name)
+	}
+	return nil
+}
+
 // pruneRemoved removes from unreferencedVersions the chunks with the prefix that are no
 // longer in the store, such as those that another collector has removed.
 func (c *Collector) pruneRemoved(entries []store.Entry, prefix string) {
--- a/arbutus-lab/sessions/collector_test.go
+++ b/arbutus-lab/sessions/collector_test.go
@@ -49,14 +49,15 @@
 	})
 }
 
-// startCollector starts the collector of the named balancer.
-func (c *collectorHarness) startCollector(name string, client *kvstore.Client) {
+// startCollector starts the collector of the named balancer, and returns the balancer's state.
+func (c *collectorHarness) startCollector(name string, client *kvstore.Client) *state.Node {
 	self := member.Member{
 		Name: name, Role: member.Balancer, Domain: name, Instance: 1, Version: 1, Phase: member.Serving,
 	}
 	node := state.NewNode(self)
 	node.Table.Merge(self)
 	balancerstore.NewCollector(client, node, self, log.NewNopLogger()).Run(c.ctx)
+	return node
 }
 
 // apply applies the sample configuration of the id.
@@ -196,3 +197,24 @@
 		c.expectConfig("old-2")
 	})
 }
+
+// TestLostChunksAreWrittenBack guards against a head that can't be read because a chunk which it
+// references is gone: a removal that was sent before the store was restored took effect
+// afterwards, when the chunk's listed version had been assigned again.
+func TestLostChunksAreWrittenBack(t *testing.T) {
+	withCollector(t, func(c *collectorHarness) {
+		c.applyMany(1)
+		client := directClient(c.store)
+		r, err := config.NewApplier(client).Read(c.ctx)
+		c.g.Expect(err).NotTo(HaveOccurred())
+		c.startCollector("balancer-1", client).Config.Adopt(r)
+		entries, err := client.List(c.ctx, kvstore.PrefixChunk)
+		c.g.Expect(err).NotTo(HaveOccurred())
+		for _, e := range entries {
+			_, err := client.CompareAndSwap(c.ctx, kvstore.Write{Key: e.Key, ExpectedVersion: e.Version, Delete: true})
+			c.g.Expect(err).NotTo(HaveOccurred())
+		}
+		time.Sleep(collectionBound)
+		c.expectConfig("old-0")
+	})
+}
