--- a/arbutus-lab/cluster/cluster.go
+++ b/arbutus-lab/cluster/cluster.go
@@ -237,11 +237,6 @@
 	return c.Post(ctx, "http://"+c.hostPort(nameFabric, portControl)+"/balancers", balancers)
 }
 
-// SetFaults sets the faults that the store injects, a store.Faults.
-func (c *Cluster) SetFaults(ctx context.Context, faults any) error {
-	return c.Post(ctx, c.StoreURL()+"/faults", faults)
-}
-
 // Process returns the named process, or nil if none was started.
 func (c *Cluster) Process(name string) *Process {
 	c.mu.Lock()
--- a/arbutus-lab/soak/harness.go
+++ b/arbutus-lab/soak/harness.go
@@ -46,9 +46,11 @@
 
 	started time.Time
 	records *records
-	// mu guards down, which holds the processes that a fault or planned stop keeps down.
-	mu   sync.Mutex
-	down map[string]bool
+	// mu guards down, which holds the processes that a fault or planned stop keeps down, and
+	// noBalancerAt, when all balancers were last down.
+	mu           sync.Mutex
+	down         map[string]bool
+	noBalancerAt time.Time
 }
 
 func newHarness(c *cluster.Cluster, cfg config.Config, opts *Options) *harness {
--- a/arbutus-lab/soak/inject.go
+++ b/arbutus-lab/soak/inject.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"syscall"
 	"time"
 
@@ -47,6 +48,8 @@
 		return h.injectStoreFaults(ctx, e, faults)
 	}
 	switch e.Kind {
+	case StoreRestored:
+		return h.restoreStore(ctx, e)
 	case KillBalancer, KillAgent:
 		return h.killFor(ctx, e.For, e.Target)
 	case KillAll:
@@ -211,6 +214,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.down[name] = down
+	if !slices.ContainsFunc(h.targets.balancers, func(b string) bool { return !h.down[b] }) {
+		h.noBalancerAt = time.Now()
+	}
 }
 
 func (h *harness) isDown(name string) bool {
--- a/arbutus-lab/soak/plan.go
+++ b/arbutus-lab/soak/plan.go
@@ -22,6 +22,7 @@
 	StoreDown         Kind = "store_down"
 	StoreSlow         Kind = "store_slow"
 	StoreLosesAnswers Kind = "store_loses_answers"
+	StoreRestored     Kind = "store_restored"
 	CutFromStore      Kind = "cut_from_store"
 	DegradePackets    Kind = "harm_packets"
 	DrainServer       Kind = "drain_server"
@@ -128,6 +129,10 @@
 		minDuration: 3 * time.Second, maxDuration: 5 * time.Second, weight: 2,
 	},
 	{kind: DomainOut, targets: domainsOf, minDuration: 3 * time.Second, maxDuration: 6 * time.Second, weight: 1},
+	{
+		kind: StoreRestored, targets: storeOf, variants: []string{"1s", "4s", "12s"},
+		minDuration: writeBackBound + 200*time.Millisecond, maxDuration: writeBackBound + 4*time.Second, weight: 3,
+	},
 }
 
 // parseKinds parses a comma-separated list of kinds. An empty list returns nil, which
--- a/arbutus-lab/standin/serve.go
+++ b/arbutus-lab/standin/serve.go
@@ -183,9 +183,12 @@
 	return errors.Join(err, <-done)
 }
 
-// serveStore serves the store, and the endpoints that set its faults and count its calls.
+// serveStore serves the store, and the endpoints that set its faults, restore it from a copy and
+// count its calls.
 func (o *Options) serveStore(ctx context.Context) error {
 	s := store.New()
+	copies := store.NewCopies(s)
+	done := copies.Run(ctx)
 	mux := http.NewServeMux()
 	mux.Handle(s.Handler())
 	mux.HandleFunc("POST /faults", func(w http.ResponseWriter, r *http.Request) {
@@ -194,8 +197,16 @@
 			s.SetFaults(f)
 		}
 	})
+	mux.HandleFunc("POST /restore", func(w http.ResponseWriter, r *http.Request) {
+		var request struct {
+			AgeMillis int64 `json:"age_millis"`
+		}
+		if readJSON(w, r, &request) {
+			copies.Restore(time.Duration(request.AgeMillis) * time.Millisecond)
+		}
+	})
 	mux.HandleFunc("GET /calls", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Calls()) })
-	return o.serveHTTP(ctx, mux)
+	return errors.Join(o.serveHTTP(ctx, mux), <-done)
 }
 
 // serveFabric serves the fabric, and the endpoints that set its balancers and count the
--- a/arbutus-lab/store/store.go
+++ b/arbutus-lab/store/store.go
@@ -227,11 +227,12 @@
 	defer s.mu.Unlock()
 	deadline := time.NewTimer(time.Duration(r.Msg.GetWaitMillis()) * time.Millisecond)
 	defer deadline.Stop()
+	era := s.era
 	for {
 		if s.faults.Down {
 			return nil, errDown
 		}
-		if r.Msg.GetAfterVersion() > s.version {
+		if r.Msg.GetAfterVersion() > s.version || s.era != era {
 			return nil, errFuture
 		}
 		e := s.entries[r.Msg.GetKey()]
