--- a/arbutus-balancer/serve/dump.go
+++ b/arbutus-balancer/serve/dump.go
@@ -7,16 +7,19 @@
 	"arbutusfront.dev/common/coordination/config"
 	"arbutusfront.dev/common/coordination/heartbeat"
 	"arbutusfront.dev/common/coordination/member"
+	kvstore "arbutusfront.dev/common/coordination/store"
 )
 
 type (
 	// dump is a balancer's state as served to operators on request. Ready and Reason
-	// say whether the balancer can forward, as reported by notServing.
+	// say whether the balancer can forward, as reported by notServing. StoreEra is the
+	// store's era as of its last response to this balancer, 0 if there was none.
 	dump struct {
 		Self     member.Member     `json:"self"`
 		Ready    bool              `json:"ready"`
 		Reason   string            `json:"reason"`
 		Revision uint64            `json:"revision"`
+		StoreEra uint64            `json:"store_era"`
 		Config   *config.Config    `json:"config"`
 		Monitors []string          `json:"monitors"`
 		Members  []memberDump      `json:"members"`
@@ -34,9 +37,11 @@
 	}
 )
 
-func dumpOf(n *state.Node, a *heartbeat.Announcer, m Mode) dump {
+func dumpOf(n *state.Node, a *heartbeat.Announcer, eras *kvstore.Eras, m Mode) dump {
 	reason := notServing(n, a, m)
-	d := dump{Self: a.Self(), Ready: reason == "", Reason: reason, Routes: n.Routes().Dump()}
+	d := dump{
+		Self: a.Self(), Ready: reason == "", Reason: reason, StoreEra: eras.Current(), Routes: n.Routes().Dump(),
+	}
 	if r := n.Config.Current(); r != nil {
 		d.Revision = r.Number()
 		d.Config = &r.Config
--- a/arbutus-balancer/serve/providers.go
+++ b/arbutus-balancer/serve/providers.go
@@ -162,8 +162,10 @@
 	return out.forwarder, nil
 }
 
-func provideWatcher(c clients, n *state.Node, self member.Member, l log.Logger, m Mode) *store.Watcher {
-	opts := slices.Clone(m.Watch)
+func provideWatcher(
+	c clients, n *state.Node, self member.Member, l log.Logger, o *observe.Observer, m Mode,
+) *store.Watcher {
+	opts := append(slices.Clone(m.Watch), store.WithScope(o.Scope))
 	if m.ReadOnlyConfig {
 		opts = append(opts, store.WithReadOnly())
 	}
--- a/arbutus-balancer/serve/server.go
+++ b/arbutus-balancer/serve/server.go
@@ -153,7 +153,7 @@
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/", s.observer.Handler(
-		func() any { return dumpOf(s.node, s.announcer, s.mode) },
+		func() any { return dumpOf(s.node, s.announcer, s.clients.store.Eras, s.mode) },
 		s.NotReady,
 	))
 	mux.Handle(s.operator.Handler())
--- a/arbutus-balancer/serve/wire_gen.go
+++ b/arbutus-balancer/serve/wire_gen.go
@@ -38,7 +38,7 @@
 		cleanup()
 		return nil, nil, err
 	}
-	watcher := provideWatcher(serveClients, node, member, l, m)
+	watcher := provideWatcher(serveClients, node, member, l, observer, m)
 	collector := provideCollector(serveClients, node, member, l)
 	registrar := provideRegistrar(serveClients, node, member, l)
 	ledger := provideLedger(serveClients, node, member, forwarder, l)
--- a/arbutus-balancer/store/watcher.go
+++ b/arbutus-balancer/store/watcher.go
@@ -19,6 +19,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"github.com/uber-go/tally/v4"
 	"google.golang.org/protobuf/proto"
 
 	"arbutusfront.dev/arbutus-balancer/state"
@@ -80,6 +81,9 @@
 		staleBound time.Duration
 		// watchers is how many balancers of each failure domain are elected.
 		watchers int
+		// eraGauge is the store's era, writtenBack counts the heads written back.
+		eraGauge    tally.Gauge
+		writtenBack tally.Counter
 	}
 
 	// Option changes how a Watcher is built.
@@ -108,6 +112,13 @@
 // system writes the configuration.
 func WithReadOnly() Option { return func(w *Watcher) { w.applier = nil } }
 
+// WithScope sets the scope of the watcher's metrics.
+func WithScope(s tally.Scope) Option {
+	return func(w *Watcher) {
+		w.eraGauge, w.writtenBack = s.Gauge("store_era"), s.Counter("heads_written_back")
+	}
+}
+
 // New returns a watcher for the balancer self.
 func New(client *store.Client, node *state.Node, self member.Member, logger log.Logger, opts ...Option) *Watcher {
 	w := &Watcher{
@@ -115,6 +126,7 @@
 		chunkSpread: chunkSpread, wait: watchWait, watchers: watchersPerDomain,
 		applier: config.NewApplier(client),
 	}
+	WithScope(tally.NoopScope)(w)
 	for _, opt := range opts {
 		opt(w)
 	}
@@ -138,7 +150,7 @@
 	pause := w.pause + rand.N(w.spread)
 	for wait.For(ctx, pause) {
 		if current := w.client.Eras.Current(); current != era {
-			w.logEra(era, current)
+			w.reportEra(era, current)
 			if era != 0 {
 				version = 0
 			}
@@ -162,12 +174,13 @@
 	}
 }
 
-// logEra logs the store's first era that is known, or a later one.
-func (w *Watcher) logEra(former, current uint64) {
+// reportEra logs and measures the store's first era that is known, or a later one.
+func (w *Watcher) reportEra(former, current uint64) {
 	event := "store_restored"
 	if former == 0 {
 		event = "store_era"
 	}
+	w.eraGauge.Update(float64(current))
 	_ = level.Info(w.log).Log(
 		"event", event, "era", current, "former", former, "revision", w.node.Config.Current().Number())
 }
@@ -251,6 +264,7 @@
 	}
 	written, err := w.applier.WriteBack(ctx, r)
 	if written {
+		w.writtenBack.Inc(1)
 		_ = level.Warn(w.log).Log(
 			"event", "head_written_back", "revision", r.Number(), "era", w.client.Eras.Current())
 	}
--- a/common/coordination/config/apply.go
+++ b/common/coordination/config/apply.go
@@ -120,16 +120,17 @@
 // store is restored from a backup meanwhile, Apply starts again. An error from Change is
 // returned unwrapped, with the result NotAccepted.
 func (a *Applier) Apply(ctx context.Context, p Proposal) Outcome {
-	rebased := false
-	for attempt := 0; ; attempt++ {
+	// uncertain is set once an attempt may have taken effect.
+	rebased, uncertain := false, false
+	for {
 		b, err := a.readWithRetry(ctx)
-		if err != nil && attempt == 0 {
-			return Outcome{Result: NotAccepted, Err: err}
+		if err != nil && uncertain {
+			return Outcome{Result: Unknown, Err: err}
 		}
 		if err != nil {
-			return Outcome{Result: Unknown, Err: err}
+			return Outcome{Result: NotAccepted, Err: err}
 		}
-		if attempt > 0 && b.revision.contains(p.ID) {
+		if uncertain && b.revision.contains(p.ID) {
 			return Outcome{Result: Accepted, Revision: b.revision.Number(), Current: b.revision, Rebased: rebased}
 		}
 		if p.BaseRevision != nil && *p.BaseRevision != b.revision.Number() {
@@ -138,10 +139,10 @@
 		outcome := a.applyTo(ctx, b, p)
 		outcome.Rebased = rebased
 		if outcome.Result == restored {
-			if ctx.Err() == nil {
+			if uncertain = true; ctx.Err() == nil {
 				continue
 			}
-			outcome.Result = Unknown
+			outcome.Result, outcome.Err = Unknown, Error.Wrap(ctx.Err())
 		}
 		if outcome.Result == Conflict && ctx.Err() == nil &&
 			(outcome.Revision == b.revision.Number() || outcome.Revision == b.stored.Number()) {
