--- a/arbutus-balancer/store/watcher.go
+++ b/arbutus-balancer/store/watcher.go
@@ -225,10 +225,18 @@
 		}
 		return version, nil
 	}
+	return w.adopt(ctx, e, version)
+}
+
+// adopt adopts the revision of the head's entry if it is newer than the one in force, or writes
+// the one in force back if it is older. It returns the entry's version, or with an error the
+// given one.
+func (w *Watcher) adopt(ctx context.Context, e store.Entry, version uint64) (uint64, error) {
 	var head controlv1.Head
 	if err := proto.Unmarshal(e.Value, &head); err != nil {
 		return version, err
 	}
+	known := w.node.Config.Current()
 	if missing := len(known.Missing(&head)); missing > 1 && w.chunkSpread > 0 {
 		wait.For(ctx, rand.N(w.chunkSpread*time.Duration(missing)))
 		known = w.node.Config.Current()
--- a/common/coordination/config/apply.go
+++ b/common/coordination/config/apply.go
@@ -86,6 +86,13 @@
 	// Option changes how an Applier is built.
 	Option func(*Applier)
 
+	// attempts describes the earlier attempts of an apply: whether one may have taken
+	// effect, and whether its change was rebased.
+	attempts struct {
+		uncertain bool
+		rebased   bool
+	}
+
 	// base is the revision in force that an apply changes, and what the store has: the
 	// version of the head's key, and the revision of that head. Stored is older than
 	// revision if the store has been restored from a backup. All are zero if there is no
@@ -120,41 +127,67 @@
 // store is restored from a backup meanwhile, Apply starts again. An error from Change is
 // returned unwrapped, with the result NotAccepted.
 func (a *Applier) Apply(ctx context.Context, p Proposal) Outcome {
-	// uncertain is set once an attempt may have taken effect.
-	rebased, uncertain := false, false
+	var earlier attempts
 	for {
-		b, err := a.readWithRetry(ctx)
-		if err != nil && uncertain {
-			return Outcome{Result: Unknown, Err: err}
-		}
-		if err != nil {
-			return Outcome{Result: NotAccepted, Err: err}
-		}
-		if uncertain && b.revision.contains(p.ID) {
-			return Outcome{Result: Accepted, Revision: b.revision.Number(), Current: b.revision, Rebased: rebased}
-		}
-		if p.BaseRevision != nil && *p.BaseRevision != b.revision.Number() {
-			return Outcome{Result: Conflict, Revision: b.revision.Number(), Current: b.revision}
-		}
-		outcome := a.applyTo(ctx, b, p)
-		outcome.Rebased = rebased
-		if outcome.Result == restored {
-			if uncertain = true; ctx.Err() == nil {
-				continue
-			}
-			outcome.Result, outcome.Err = Unknown, Error.Wrap(ctx.Err())
-		}
-		if outcome.Result == Conflict && ctx.Err() == nil &&
-			(outcome.Revision == b.revision.Number() || outcome.Revision == b.stored.Number()) {
-			// The head has another version, but not another revision: the collector
-			// has written it again because it is about to remove unreferenced chunks,
-			// or a balancer has written back what the store had lost.
-			continue
-		}
-		if outcome.Result != Conflict || ctx.Err() != nil || !p.canRebase(b.revision, outcome) {
+		outcome, again := a.attempt(ctx, p, &earlier)
+		if !again {
 			return outcome
 		}
-		rebased = true
+	}
+}
+
+// attempt makes one attempt to apply the proposal. It reports whether another one is needed.
+func (a *Applier) attempt(ctx context.Context, p Proposal, earlier *attempts) (outcome Outcome, again bool) {
+	b, err := a.readWithRetry(ctx)
+	if err != nil {
+		return earlier.readFailed(err), false
+	}
+	if earlier.uncertain && b.revision.contains(p.ID) {
+		return Outcome{
+			Result: Accepted, Revision: b.revision.Number(), Current: b.revision, Rebased: earlier.rebased,
+		}, false
+	}
+	if p.BaseRevision != nil && *p.BaseRevision != b.revision.Number() {
+		return Outcome{Result: Conflict, Revision: b.revision.Number(), Current: b.revision}, false
+	}
+	outcome = a.applyTo(ctx, b, p)
+	outcome.Rebased = earlier.rebased
+	if ctx.Err() == nil && earlier.mustRepeat(outcome, b, p) {
+		return outcome, true
+	}
+	if outcome.Result == restored {
+		outcome.Result, outcome.Err = Unknown, Error.Wrap(ctx.Err())
+	}
+	return outcome, false
+}
+
+// readFailed returns the outcome of an apply that can't read what is in force.
+func (e *attempts) readFailed(err error) Outcome {
+	if e.uncertain {
+		return Outcome{Result: Unknown, Err: err}
+	}
+	return Outcome{Result: NotAccepted, Err: err}
+}
+
+// mustRepeat reports whether another attempt is needed after one on top of b with the outcome,
+// and records why.
+func (e *attempts) mustRepeat(o Outcome, b base, p Proposal) bool {
+	switch {
+	case o.Result == restored:
+		e.uncertain = true
+		return true
+	case o.Result != Conflict:
+		return false
+	case o.Revision == b.revision.Number() || o.Revision == b.stored.Number():
+		// The head has another version, but not another revision: the collector has
+		// written it again because it is about to remove unreferenced chunks, or a
+		// balancer has written back what the store had lost.
+		return true
+	case p.canRebase(b.revision, o):
+		e.rebased = true
+		return true
+	default:
+		return false
 	}
 }
 
@@ -243,9 +276,9 @@
 	}
 	w := store.Write{Key: store.KeyHead, ExpectedVersion: b.version, Value: value}
 	var swap store.Swap
-	attempts := 0
+	calls := 0
 	err = retry(ctx, func() error {
-		if attempts++; attempts > 1 {
+		if calls++; calls > 1 {
 			if _, err := a.store.Get(ctx, store.KeyHead); err != nil {
 				return err
 			}
--- a/common/coordination/config/order_test.go
+++ b/common/coordination/config/order_test.go
@@ -11,7 +11,11 @@
 func TestOrderPrefersVersion(t *testing.T) {
 	g := NewWithT(t)
 	ascending := []Order{
-		{Version: 7}, {Version: 7, Change: 3}, {Version: 7, Change: maxChange}, {Version: 9, Change: 2}, {Version: maxVersion},
+		{Version: 7},
+		{Version: 7, Change: 3},
+		{Version: 7, Change: maxChange},
+		{Version: 9, Change: 2},
+		{Version: maxVersion},
 	}
 	var last uint64
 	for _, o := range ascending {
--- a/common/coordination/store/lease.go
+++ b/common/coordination/store/lease.go
@@ -66,9 +66,12 @@
 	l.reclaim = l.reclaim || l.id != 0 && l.era != l.client.Eras.Current()
 	l.id = 0
 	e, err := l.client.Get(ctx, l.key)
-	if err != nil || e.Version != 0 && !(l.reclaim && string(e.Value) == l.owner) {
+	if err != nil {
 		return false, err
 	}
+	if e.Version != 0 && (!l.reclaim || string(e.Value) != l.owner) {
+		return false, nil
+	}
 	era, sent := l.client.Eras.Current(), l.now()
 	id, err := l.client.Grant(ctx, l.ttl)
 	if err != nil {
