--- a/arbutus-balancer/store/collector.go
+++ b/arbutus-balancer/store/collector.go
@@ -91,11 +91,10 @@
 }
 
 // collect removes the chunks with the prefix that the head does not reference, and did not
-// reference when they were last listed. It writes back those that the head references and
-// the store lacks. Before the first removal it writes the head
-// again, unchanged: an apply that has read the head
-// earlier and relies on one of these chunks then fails its compare-and-swap. An apply
-// that reads the head later writes each chunk that the head does not reference. The
+// reference when they were last listed. It writes back those that the head references and the
+// store lacks. Before the first removal it writes the head again, unchanged: an apply that has
+// read the head earlier and relies on one of these chunks then fails its compare-and-swap. An
+// apply that reads the head later writes each chunk that the head does not reference. The
 // version of such a chunk differs from the listed one, so it is not removed.
 func (c *Collector) collect(ctx context.Context, prefix string) error {
 	head, err := c.client.Get(ctx, store.KeyHead)
--- a/arbutus-balancer/store/ledger.go
+++ b/arbutus-balancer/store/ledger.go
@@ -58,7 +58,7 @@
 
 		// version is the version of the ledger's key in the store, lastValue the value
 		// that was last written, and leaseID the lease under which it is stored; 0 for
-		// none. All are those of the store's era.
+		// none. They are valid in the given era of the store.
 		era       uint64
 		version   uint64
 		lastValue []byte
--- a/arbutus-lab/sessions/restore_test.go
+++ b/arbutus-lab/sessions/restore_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"arbutusfront.dev/arbutus-lab/store"
+	"arbutusfront.dev/arbutusctl/session"
 	"arbutusfront.dev/common/coordination/config"
 	kvstore "arbutusfront.dev/common/coordination/store"
 )
@@ -97,6 +98,24 @@
 	})
 }
 
+// drainingApply applies a proposal that drains a server with the name of its ID.
+func drainingApply(t *testing.T, c *kvstore.Client, id string) config.Outcome {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), session.ApplyTimeout)
+	defer cancel()
+	return config.NewApplier(c).Apply(ctx, config.Proposal{
+		ID: id, Author: id,
+		Change: func(r *config.Revision) (config.Config, error) {
+			cfg := sampleConfig("sample")
+			if r != nil {
+				cfg = r.Config
+			}
+			cfg.Drained = append(append([]string{}, cfg.Drained...), id)
+			return cfg, nil
+		},
+	})
+}
+
 // TestRestoreDuringApply guards against an apply that overwrites another one: it repeats its
 // compare-and-swap after a lost response, and the restored store has assigned the expected
 // version again.
@@ -104,22 +123,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		g, s := NewWithT(t), store.New()
 		direct := directClient(s)
-		apply := func(c *kvstore.Client, id string) config.Outcome {
-			return config.NewApplier(c).Apply(t.Context(), config.Proposal{
-				ID: id, Author: id,
-				Change: func(r *config.Revision) (config.Config, error) {
-					cfg := sampleConfig("sample")
-					if r != nil {
-						cfg = r.Config
-					}
-					cfg.Drained = append(append([]string{}, cfg.Drained...), id)
-					return cfg, nil
-				},
-			})
-		}
-		g.Expect(apply(direct, "first").Result).To(Equal(config.Accepted))
+		g.Expect(drainingApply(t, direct, "first").Result).To(Equal(config.Accepted))
 		backup := s.Backup()
-		g.Expect(apply(direct, "lost").Result).To(Equal(config.Accepted))
+		g.Expect(drainingApply(t, direct, "lost").Result).To(Equal(config.Accepted))
 		late := *direct
 		lost := false
 		late.CompareAndSwap = func(ctx context.Context, w kvstore.Write) (kvstore.Swap, error) {
@@ -128,20 +134,44 @@
 			}
 			lost = true
 			s.Restore(backup)
-			g.Expect(apply(directClient(s), "other").Result).To(Equal(config.Accepted))
+			g.Expect(drainingApply(t, directClient(s), "other").Result).To(Equal(config.Accepted))
 			head, err := directClient(s).Get(ctx, kvstore.KeyHead)
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Expect(head.Version).To(Equal(w.ExpectedVersion), "the version is assigned again")
 			return kvstore.Swap{}, errResponseLost
 		}
-		outcome := apply(&late, "late")
-		g.Expect(outcome.Result).To(Equal(config.Accepted))
+		g.Expect(drainingApply(t, &late, "late").Result).To(Equal(config.Accepted))
 		r, err := config.NewApplier(direct).Read(t.Context())
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(r.Config.Drained).To(ConsistOf("sample", "first", "other", "late"))
 	})
 }
 
+// TestRestoreBetweenChunksAndHead guards against a head that nobody can read: the store is
+// restored after an apply has written its chunks, which are lost, and before it writes the head,
+// whose expected version the copy has.
+func TestRestoreBetweenChunksAndHead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, s := NewWithT(t), store.New()
+		direct := directClient(s)
+		g.Expect(drainingApply(t, direct, "first").Result).To(Equal(config.Accepted))
+		backup := s.Backup()
+		client := *direct
+		isRestored := false
+		client.CompareAndSwap = func(ctx context.Context, w kvstore.Write) (kvstore.Swap, error) {
+			if w.Key == kvstore.KeyHead && !isRestored {
+				isRestored = true
+				s.Restore(backup)
+			}
+			return direct.CompareAndSwap(ctx, w)
+		}
+		g.Expect(drainingApply(t, &client, "second").Result).To(Equal(config.Accepted))
+		r, err := config.NewApplier(direct).Read(t.Context())
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(r.Config.Drained).To(ConsistOf("sample", "first", "second"))
+	})
+}
+
 // TestRestoreHistory guards against accepted changes that are lost, and processes that go back
 // to an older revision, in random histories of applies, restores of the store, balancers that
 // are killed and balancers that are cut off from the store.
--- a/common/coordination/config/apply.go
+++ b/common/coordination/config/apply.go
@@ -106,8 +106,8 @@
 )
 
 // WithInForce sets the function that queries the processes for the latest revision that any of
-// them has in force. The Applier calls it with the store's revision if the store may have lost
-// a later one. It may return nil if no process has a configuration.
+// them has in force, and fails if none has any. The Applier calls it with the store's revision,
+// which may be nil, if the store may have lost a later one.
 func WithInForce(f func(ctx context.Context, known *Revision) (*Revision, error)) Option {
 	return func(a *Applier) { a.inForce = f }
 }
@@ -249,6 +249,10 @@
 	}
 	outcome := a.swapHead(ctx, b, head, chunks)
 	outcome.proposed = cfg
+	if outcome.Result == restored {
+		// The head may have been written to the restored store, which has lost chunks.
+		outcome.Err = a.writeChunks(ctx, chunks)
+	}
 	return outcome
 }
 
@@ -263,8 +267,8 @@
 
 // swapHead retries the compare-and-swap of the head until its outcome is known or ctx
 // is canceled. Retrying is idempotent: the expected version lets at most one of the attempts
-// take effect. That holds only within one era of the store, so the era is checked before each
-// further attempt.
+// take effect. That holds only within one era of the store, and so does that the store has the
+// chunks, so the era is checked before each attempt.
 func (a *Applier) swapHead(ctx context.Context, b base, head *controlv1.Head, chunks []Chunk) Outcome {
 	value, err := proto.Marshal(head)
 	if err != nil {
@@ -272,15 +276,9 @@
 	}
 	w := store.Write{Key: store.KeyHead, ExpectedVersion: b.version, Value: value}
 	var swap store.Swap
-	calls := 0
 	err = retry(ctx, func() error {
-		if calls++; calls > 1 {
-			if _, err := a.store.Get(ctx, store.KeyHead); err != nil {
-				return err
-			}
-		}
-		if a.store.Eras.Current() != b.era {
-			return nil
+		if _, err := a.store.Get(ctx, store.KeyHead); err != nil || a.store.Eras.Current() != b.era {
+			return err
 		}
 		swap, err = a.store.CompareAndSwap(ctx, w)
 		return err
--- a/common/coordination/config/writeback.go
+++ b/common/coordination/config/writeback.go
@@ -36,6 +36,10 @@
 		return false, Error.Wrap(store.ErrFormerEra)
 	}
 	swap, err := a.store.CompareAndSwap(ctx, store.Write{Key: store.KeyHead, ExpectedVersion: e.Version, Value: value})
+	if err == nil && a.store.Eras.Current() != era {
+		// The head was written to a store that was restored again, and has lost chunks.
+		err = a.writeChunks(ctx, r.Chunks())
+	}
 	return swap.Swapped, err
 }
 
