Let no odd entry shut out a backend server, a document or a process

Cause: an announcement by another writer that starts in the future, or has a very high sequence number, made the agent ignore its backend server's own announcements for good, also its draining. Numbers out of range were converted as the processor does it (x86-64 and arm64 differ) and overflowed in products with the slots. One route, service or store item that could not be decoded hid all others, and a watch failed on it again and again; one odd registration hid all registered balancers, one odd seed kept a process from starting. Change: announcements are rejected if they are out of range or further ahead than a clock can be wrong, and the order restarts after three announcements of one run in a row if the run in force has fallen silent. What is rejected is not acknowledged (status 409). All conversions go through package number. Documents, items, registrations and seeds are read one by one.

--- a/arbutus-agent/passthrough/serve/announce.go
+++ b/arbutus-agent/passthrough/serve/announce.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log/level"
 
 	"arbutusfront.dev/arbutus-agent/passthrough"
+	"arbutusfront.dev/common/protocol/number"
 )
 
 const (
@@ -17,6 +18,9 @@
 
 	// maxAnnouncementBytes limits how much of an announcement's body is read.
 	maxAnnouncementBytes = 16 << 10
+	// maxErrorBytes bounds the part of an error that is logged and returned: the position in
+	// a deeply nested body can take megabytes.
+	maxErrorBytes = 200
 )
 
 // AnnouncementBody is the body of an announcement, which a backend server sends to its
@@ -32,29 +36,45 @@
 // registerAnnouncements registers the handlers for the backend server's announcements.
 func (s *Server) registerAnnouncements(mux *http.ServeMux) {
 	mux.HandleFunc(patternAnnounce, func(w http.ResponseWriter, r *http.Request) {
-		body, err := readAnnouncement(r.Body)
+		a, err := readAnnouncement(r.Body)
 		if err != nil {
-			_ = level.Warn(s.log).Log("event", "announcement_unreadable", "id", r.PathValue("id"), "err", err)
-			http.Error(w, err.Error(), http.StatusBadRequest)
+			reason := shorten(err.Error())
+			s.backend.Reject(passthrough.Unreadable)
+			_ = level.Warn(s.log).Log("event", "announcement_unreadable", "id", shorten(r.PathValue("id")), "err", reason)
+			http.Error(w, reason, http.StatusBadRequest)
 			return
 		}
-		s.backend.Announce(passthrough.Announcement{
-			ID:                r.PathValue("id"),
-			StartedUnixMillis: body.StartedUnixMillis,
-			Sequence:          body.Sequence,
-			Draining:          body.Draining,
-			ColdFor:           time.Duration(body.ColdMillis) * time.Millisecond,
-			Slots:             body.Slots,
-		})
+		a.ID = r.PathValue("id")
+		if !s.backend.Announce(a) {
+			http.Error(w, "a later announcement of this backend server is known", http.StatusConflict)
+		}
 	})
 	mux.HandleFunc(patternWithdraw, func(_ http.ResponseWriter, r *http.Request) { s.backend.Withdraw(r.PathValue("id")) })
 }
 
-func readAnnouncement(r io.Reader) (AnnouncementBody, error) {
+func shorten(s string) string { return s[:min(len(s), maxErrorBytes)] }
+
+// readAnnouncement returns the announcement with the body that r contains, without an ID. It
+// returns an error if the body can't be decoded or the warm-up time is out of range; the record
+// of the backend server checks the other numbers.
+func readAnnouncement(r io.Reader) (passthrough.Announcement, error) {
 	b, err := io.ReadAll(io.LimitReader(r, maxAnnouncementBytes))
 	if err != nil {
-		return AnnouncementBody{}, Error.Wrap(err)
+		return passthrough.Announcement{}, Error.Wrap(err)
 	}
 	var body AnnouncementBody
-	return body, Error.Wrap(json.Unmarshal(b, &body, json.RejectUnknownMembers(true)))
+	if err := json.Unmarshal(b, &body, json.RejectUnknownMembers(true)); err != nil {
+		return passthrough.Announcement{}, Error.Wrap(err)
+	}
+	cold, err := number.Duration(float64(body.ColdMillis), time.Millisecond, passthrough.MaxColdFor)
+	if err != nil {
+		return passthrough.Announcement{}, Error.New("cold_millis: %w", err)
+	}
+	return passthrough.Announcement{
+		StartedUnixMillis: body.StartedUnixMillis,
+		Sequence:          body.Sequence,
+		Draining:          body.Draining,
+		ColdFor:           cold,
+		Slots:             body.Slots,
+	}, nil
 }
--- a/arbutus-agent/passthrough/server.go
+++ b/arbutus-agent/passthrough/server.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
+	"github.com/uber-go/tally/v4"
 
 	"arbutusfront.dev/common/coordination/config"
 )
@@ -27,42 +27,12 @@
 	// server may hold flows that it does not know. Flows are assumed not to be older, or
 	// idle for longer, than this.
 	unknownFlowsPeriod = 60 * time.Second
-	// maxFirstSequence is the highest sequence number that the first announcement received
-	// from a run of a backend server may have for the run to count as started after the
-	// agent.
-	maxFirstSequence = 2
-	// maxBootSequence is the highest sequence number that the first announcement received
-	// from a run may have for the run to count as started together with the agent, at the
-	// boot of their machine: a backend server repeats its announcement at once while no
-	// agent accepts it. Comparing the two start times alone would not suffice, as the clock
-	// may jump.
-	maxBootSequence = 6
 	// coldRateWindow is the period over which the rate of new flows to a cold backend
 	// server is counted.
 	coldRateWindow = time.Second
-	// minRestartDelay is less than the time between the end of an agent and the start of
-	// its new incarnation. No earlier incarnation can have delivered flows to a backend
-	// server that started at most this long before the agent.
-	minRestartDelay = 400 * time.Millisecond
 )
 
 type (
-	// Announcement is a backend server's report of its own state.
-	Announcement struct {
-		// ID names the backend server. A later run may have the same ID or another one.
-		ID string
-		// StartedUnixMillis is when this run of the backend server began, as a Unix time in
-		// milliseconds; 0 if unknown.
-		StartedUnixMillis int64
-		// Sequence increases with each announcement of a run.
-		Sequence uint64
-		Draining bool
-		// ColdFor is the remaining warm-up time, during which the backend server is slow.
-		ColdFor time.Duration
-		// Slots is the number of requests that the backend server runs concurrently.
-		Slots int
-	}
-
 	// Server is the agent's record of its backend server. It is safe for concurrent use.
 	Server struct {
 		probeLiveness  func(ctx context.Context) error
@@ -70,6 +40,8 @@
 		log            log.Logger
 		now            func() time.Time
 		agentStartedAt time.Time
+		// rejected counts the announcements that were not applied, by reason.
+		rejected func(Rejection) tally.Counter
 
 		mu sync.Mutex
 		// known is set once the backend server has announced itself or was discovered as
@@ -77,6 +49,7 @@
 		known       bool
 		announced   Announcement
 		announcedAt time.Time
+		ignored     ignoredRun
 		// predates is set unless the backend server is known to have started after the
 		// agent.
 		predates  bool
@@ -124,12 +97,18 @@
 // WithServerLogger sets the logger for events.
 func WithServerLogger(l log.Logger) ServerOption { return func(s *Server) { s.log = l } }
 
+// WithServerScope sets the scope of the record's metrics.
+func WithServerScope(scope tally.Scope) ServerOption {
+	return func(s *Server) { s.rejected = rejectionCounter(scope) }
+}
+
 // NewServer returns the record of a backend server that has not announced itself. The
 // function probeLiveness returns an error if the process is not running.
 func NewServer(probeLiveness func(ctx context.Context) error, opts ...ServerOption) *Server {
 	s := &Server{
 		probeLiveness: probeLiveness, log: log.NewNopLogger(), now: time.Now, predates: true, coldUnknown: true,
 		probeHealth: func(context.Context, string) error { return errNoHealthProbe },
+		rejected:    rejectionCounter(tally.NoopScope),
 	}
 	for _, opt := range opts {
 		opt(s)
@@ -145,65 +124,6 @@
 	s.coldNewPerSecond = cold.NewPerSecond
 }
 
-// Announce applies the announcement unless it is stale, and reports whether it did. After an
-// applied one the backend server no longer counts as withdrawn or dead.
-func (s *Server) Announce(a Announcement) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.known && s.isStale(a) {
-		_ = level.Info(s.log).Log(
-			"event", "announcement_ignored", "id", a.ID, "sequence", a.Sequence, "born", a.StartedUnixMillis,
-		)
-		return false
-	}
-	now := s.now()
-	if !s.known || a.ID != s.announced.ID || a.StartedUnixMillis != s.announced.StartedUnixMillis {
-		s.predates = a.Sequence > maxFirstSequence && !s.startedWithAgent(a)
-		s.logChange("server_started", a)
-	} else if a.Draining != s.announced.Draining || s.withdrawn || s.dead {
-		s.logChange("server_changed", a)
-	}
-	s.known, s.withdrawn, s.dead = true, false, false
-	s.announced, s.announcedAt = a, now
-	s.coldUntil, s.coldUnknown = now.Add(a.ColdFor), false
-	return true
-}
-
-// startedWithAgent reports whether the backend server started with the agent, rather than
-// before it.
-func (s *Server) startedWithAgent(a Announcement) bool {
-	return a.Sequence <= maxBootSequence && a.StartedUnixMillis >= s.agentStartedAt.Add(-minRestartDelay).UnixMilli()
-}
-
-// isStale reports whether the announcement is from an earlier run than the last applied one,
-// or is not newer than that one of the same run. s.mu must be held.
-func (s *Server) isStale(a Announcement) bool {
-	if a.StartedUnixMillis != s.announced.StartedUnixMillis &&
-		a.StartedUnixMillis != 0 && s.announced.StartedUnixMillis != 0 {
-		return a.StartedUnixMillis < s.announced.StartedUnixMillis
-	}
-	return a.ID == s.announced.ID && a.Sequence <= s.announced.Sequence
-}
-
-func (s *Server) logChange(event string, a Announcement) {
-	_ = level.Info(s.log).Log(
-		"event", event, "id", a.ID, "born", a.StartedUnixMillis, "sequence", a.Sequence, "draining", a.Draining,
-		"cold", a.ColdFor, "predates_agent", s.predates,
-	)
-}
-
-// Withdraw records that the backend server with the ID has announced its end. It is ignored
-// if the last announcement had another ID.
-func (s *Server) Withdraw(id string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.known || id != s.announced.ID {
-		return
-	}
-	s.withdrawn = true
-	s.logChange("server_withdrawn", s.announced)
-}
-
 // AssumeCold treats the backend server as cold until its next announcement.
 func (s *Server) AssumeCold() {
 	s.mu.Lock()
--- a/common/coordination/store/seeds.go
+++ b/common/coordination/store/seeds.go
@@ -85,10 +85,13 @@
 func (s *Seeds) query() {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	registered, err := Registered(ctx, s.client)
+	registered, odd, err := Registered(ctx, s.client)
 	if err != nil {
 		_ = level.Warn(s.log).Log("event", "seeds_failed", "err", err)
 	}
+	if len(odd) > 0 {
+		_ = level.Warn(s.log).Log("event", "registrations_unreadable", "count", len(odd), "first", odd[0])
+	}
 	s.mu.Lock()
 	s.querying = false
 	if err == nil {
--- a/common/coordination/store/seeds_test.go
+++ b/common/coordination/store/seeds_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -37,3 +38,25 @@
 		g.Expect(calls.Load()).To(BeNumerically(">=", 29), "a process that knows no balancer queries often")
 	})
 }
+
+// TestOddRegistrationHidesNoOthers guards against one key that contains no usable address, and
+// keeps all processes from finding the registered balancers.
+func TestOddRegistrationHidesNoOthers(t *testing.T) {
+	g := NewWithT(t)
+	odd := []string{
+		"", "nowhere", "10.0.0.1", "10.0.0.1:99999", "10.0.0.1:-1", "10.0.0.1:0", "0.0.0.0:7000", "224.0.0.1:7000", "\xff",
+	}
+	client := &Client{List: func(context.Context, string) ([]Entry, error) {
+		entries := []Entry{{Key: PrefixBalancers + "10.0.0.1:7000"}}
+		for _, key := range odd {
+			entries = append(entries, Entry{Key: PrefixBalancers + key})
+		}
+		return append(entries, Entry{Key: PrefixBalancers + "10.0.0.2:7000"}), nil
+	}}
+	addresses, keys, err := Registered(t.Context(), client)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(addresses).To(Equal([]netip.AddrPort{
+		netip.MustParseAddrPort("10.0.0.1:7000"), netip.MustParseAddrPort("10.0.0.2:7000"),
+	}))
+	g.Expect(keys).To(HaveLen(len(odd)))
+}
--- a/common/coordination/store/store.go
+++ b/common/coordination/store/store.go
@@ -57,21 +57,23 @@
 // registered.
 func RegistrationKey(packet netip.AddrPort) string { return PrefixBalancers + packet.String() }
 
-// Registered returns the packet addresses of the registered balancers.
-func Registered(ctx context.Context, c *Client) ([]netip.AddrPort, error) {
+// Registered returns the packet addresses of the registered balancers, and the keys that contain
+// none, which someone else must have written.
+func Registered(ctx context.Context, c *Client) (addresses []netip.AddrPort, odd []string, err error) {
 	entries, err := c.List(ctx, PrefixBalancers)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	addresses := make([]netip.AddrPort, 0, len(entries))
+	addresses = make([]netip.AddrPort, 0, len(entries))
 	for _, e := range entries {
 		a, err := netip.ParseAddrPort(strings.TrimPrefix(e.Key, PrefixBalancers))
-		if err != nil {
-			return nil, Error.New("key %q does not contain a packet address", e.Key)
+		if err != nil || a.Port() == 0 || a.Addr().IsUnspecified() || a.Addr().IsMulticast() {
+			odd = append(odd, e.Key)
+			continue
 		}
 		addresses = append(addresses, a)
 	}
-	return addresses, nil
+	return addresses, odd, nil
 }
 
 // Error is the class of this package's errors.
