Switch off mechanisms of balancers and agents one by one

Cause: the ablation asked for by the users needs each mechanism to be switched off alone, without a build of its own. Change: package feature names 16 mechanisms; functional options switch them off when a process is built.

--- a/arbutus-agent/passthrough/capacity.go
+++ b/arbutus-agent/passthrough/capacity.go
@@ -54,7 +54,7 @@
 // others. e.mu must be held.
 func (e *Engine) isTooBusyFor(p frame.Frame) bool {
 	switch {
-	case p.Retransmits == 0:
+	case p.Retransmits == 0 || e.without.firstSYNPriority:
 		return e.hasRoundsInFlight(maxRounds)
 	case p.Retransmits < lastRetransmit:
 		return e.hasRoundsInFlight(maxRoundsRetransmitted)
@@ -77,7 +77,7 @@
 	if e.offerWhileBusy(v, h, p) {
 		return
 	}
-	if len(e.pending) >= maxPending {
+	if len(e.pending) >= maxPending || e.without.capacityWait {
 		e.logWaits(p, "refused", now)
 		e.metrics.refused.Inc(1)
 		e.reset(p, "all_servers_busy")
--- a/arbutus-agent/passthrough/engine.go
+++ b/arbutus-agent/passthrough/engine.go
@@ -31,6 +31,7 @@
 	"arbutusfront.dev/common/protocol/capsule"
 	"arbutusfront.dev/common/protocol/frame"
 	"arbutusfront.dev/common/protocol/ipv4"
+	"arbutusfront.dev/common/state/feature"
 	"arbutusfront.dev/common/state/load"
 )
 
@@ -82,6 +83,7 @@
 		activeRequests int
 		opening        map[ipv4.FlowKey]*flow
 		leaving        bool
+		without        disabled
 		// pending are the SYNs buffered until the backend server has capacity, oldest
 		// first.
 		pending    []pendingSYN
@@ -92,6 +94,11 @@
 		lastRunStartedMillis uint64
 	}
 
+	// disabled are the mechanisms that are switched off.
+	disabled struct {
+		capacityWait, firstSYNPriority, failurePenalty, silentResets, runResets bool
+	}
+
 	// Option configures an Engine. WithIdentity, WithDeliver, WithForward and WithReply are
 	// required.
 	Option func(*Engine)
@@ -135,6 +142,19 @@
 // WithScope sets the metrics scope.
 func WithScope(s tally.Scope) Option { return func(e *Engine) { e.metrics = newMetrics(s) } }
 
+// Without switches off the features that concern the engine.
+func Without(s feature.Set) Option {
+	return func(e *Engine) {
+		e.without = disabled{
+			capacityWait:     s.Has(feature.CapacityWait),
+			firstSYNPriority: s.Has(feature.FirstSYNPriority),
+			failurePenalty:   s.Has(feature.FailurePenalty),
+			silentResets:     s.Has(feature.SilentResets),
+			runResets:        s.Has(feature.RunResets),
+		}
+	}
+}
+
 // New returns an engine for the agent's backend server.
 func New(node *state.Node, s *Server, c frame.Codec, opts ...Option) *Engine {
 	e := &Engine{
--- a/arbutus-agent/passthrough/outbound.go
+++ b/arbutus-agent/passthrough/outbound.go
@@ -175,7 +175,7 @@
 	run := e.server.RunStartedMillis()
 	previous := e.lastRunStartedMillis
 	e.lastRunStartedMillis = max(run, previous)
-	if previous == 0 || run <= previous {
+	if previous == 0 || run <= previous || e.without.runResets {
 		return
 	}
 	runAge := now.Sub(time.UnixMilli(int64(run)))
@@ -184,6 +184,9 @@
 
 // handleDeath resets all flows of a dead backend server.
 func (e *Engine) handleDeath() {
+	if e.without.silentResets {
+		return
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.endFlows(func(*flow) bool { return true }, "server_dead")
--- a/arbutus-agent/passthrough/outcomes.go
+++ b/arbutus-agent/passthrough/outcomes.go
@@ -91,7 +91,7 @@
 // penalty returns the number of requests added to the load of a failing backend server; 0 for
 // any other. e.mu must be held.
 func (e *Engine) penalty(now time.Time) int {
-	if !e.outcomes.failing {
+	if !e.outcomes.failing || e.without.failurePenalty {
 		return 0
 	}
 	return int(e.outcomes.failureRatio(now) * failingPenaltyRounds * float64(max(e.server.Slots(), 1)))
--- a/arbutus-agent/passthrough/serve/providers.go
+++ b/arbutus-agent/passthrough/serve/providers.go
@@ -18,8 +18,10 @@
 	"arbutusfront.dev/common/coordination/peer"
 	"arbutusfront.dev/common/protocol/control"
 	controlv1 "arbutusfront.dev/common/protocol/gen/arbutus/control/v1"
+	"arbutusfront.dev/common/protocol/ipv4"
 	"arbutusfront.dev/common/protocol/link"
 	"arbutusfront.dev/common/protocol/settings"
+	"arbutusfront.dev/common/state/feature"
 	"arbutusfront.dev/common/state/observe"
 	"arbutusfront.dev/common/transport/datagram"
 	"arbutusfront.dev/common/transport/network"
@@ -59,7 +61,7 @@
 
 func provideKey(s *settings.Agent) (control.Key, error) { return control.NewKey(s.Secret) }
 
-func provideBackend(s *settings.Agent, n network.Network, l log.Logger) *passthrough.Server {
+func provideBackend(s *settings.Agent, n network.Network, o *observe.Observer, l log.Logger) *passthrough.Server {
 	address := s.BackendAddress.String()
 	plain := n.HTTP1Client()
 	return passthrough.NewServer(
@@ -72,6 +74,7 @@
 		},
 		passthrough.WithHealthProbe(func(ctx context.Context, path string) error { return probe(ctx, plain, address, path) }),
 		passthrough.WithServerLogger(l),
+		passthrough.WithServerScope(o.Scope),
 	)
 }
 
@@ -103,7 +106,7 @@
 		self,
 		heartbeat.WithSend(out.send),
 		heartbeat.WithSeeds(opts.seeds(s.Seeds)),
-		heartbeat.WithConfigured(func() bool { return n.View().Known }),
+		heartbeat.WithConfigured(func() bool { return opts.Without.Has(feature.SeedHeartbeats) || n.View().Known }),
 		heartbeat.WithReport(func() heartbeat.Report { return heartbeat.Report{Revision: n.View().Revision} }),
 		heartbeat.WithPace(func() heartbeat.Pace {
 			v := n.View()
@@ -139,8 +142,13 @@
 	n *state.Node, a *heartbeat.Announcer, b *passthrough.Server, p *agent.Peers, s *settings.Agent,
 	socket backendSocket, out *sender, o *observe.Observer, l log.Logger, opts Options,
 ) *passthrough.Engine {
+	opened, closed := p.Opened, p.Closed
+	if opts.Without.Has(feature.DirectoryReplicas) {
+		opened, closed = func(ipv4.FlowKey) {}, func(ipv4.FlowKey) {}
+	}
 	e := passthrough.New(
 		n, b, opts.Codec,
+		passthrough.Without(opts.Without),
 		passthrough.WithIdentity(a.Self),
 		passthrough.WithDeliver(func(packet []byte) error { return socket.Write(packet, s.BackendAddress) }),
 		passthrough.WithForward(out.forward),
@@ -148,7 +156,7 @@
 			return socket.Write(packet, opts.ReplyAddressOf(caller))
 		}),
 		passthrough.WithNotify(balancer.NewNotices(n, a, out.send).Send),
-		passthrough.WithDirectoryUpdates(p.Opened, p.Closed),
+		passthrough.WithDirectoryUpdates(opened, closed),
 		passthrough.WithScope(o.Scope),
 		passthrough.WithLogger(l),
 	)
@@ -186,6 +194,8 @@
 	return out.link, nil
 }
 
+func provideWithout(opts Options) feature.Set { return opts.Without }
+
 func provideListener(s *settings.Agent, n network.Network) (net.Listener, error) {
 	return n.Listen(s.ControlAddress)
 }
--- a/arbutus-agent/passthrough/serve/server.go
+++ b/arbutus-agent/passthrough/serve/server.go
@@ -28,6 +28,7 @@
 	"arbutusfront.dev/common/protocol/frame"
 	"arbutusfront.dev/common/protocol/link"
 	"arbutusfront.dev/common/protocol/settings"
+	"arbutusfront.dev/common/state/feature"
 	"arbutusfront.dev/common/state/observe"
 	"arbutusfront.dev/common/transport/datagram"
 	"arbutusfront.dev/common/transport/network"
@@ -72,6 +73,8 @@
 		// Seeds, if set, replaces the seeds of the settings, which may be outdated. It is
 		// called whenever no balancer responds.
 		Seeds func() []netip.AddrPort
+		// Without are the features to switch off.
+		Without feature.Set
 	}
 
 	// Server is an agent in pass-through mode.
@@ -88,6 +91,8 @@
 		listener  net.Listener
 		http      *http.Client
 		log       log.Logger
+		// without are the features that are switched off.
+		without feature.Set
 	}
 )
 
@@ -136,6 +141,7 @@
 	self := s.announcer.Self()
 	_ = level.Info(s.log).Log(
 		"event", "started", "name", self.Name, "service", self.Service, "domain", self.Domain, "instance", self.Instance,
+		"without", s.without,
 	)
 	select {
 	case <-ctx.Done():
--- a/arbutus-agent/passthrough/serve/wire.go
+++ b/arbutus-agent/passthrough/serve/wire.go
@@ -26,6 +26,7 @@
 		provideEngine,
 		provideLink,
 		provideListener,
+		provideWithout,
 		state.NewNode,
 		state.NewSelf,
 		wire.Struct(new(Server), "*"),
--- a/arbutus-agent/passthrough/serve/wire_gen.go
+++ b/arbutus-agent/passthrough/serve/wire_gen.go
@@ -24,12 +24,13 @@
 	client := provideClient(n)
 	balancerClient := provideBalancers(node, announcer, client, l)
 	peers := providePeers(node, announcer, serveSender, l)
-	server := provideBackend(s, n, l)
+	observer, cleanup := provideObserver()
+	server := provideBackend(s, n, observer, l)
 	serveBackendSocket, err := provideBackendSocket(n, opts)
 	if err != nil {
+		cleanup()
 		return nil, nil, err
 	}
-	observer, cleanup := provideObserver()
 	engine := provideEngine(node, announcer, server, peers, s, serveBackendSocket, serveSender, observer, l, opts)
 	key, err := provideKey(s)
 	if err != nil {
@@ -46,6 +47,7 @@
 		cleanup()
 		return nil, nil, err
 	}
+	set := provideWithout(opts)
 	serveServer := &Server{
 		node:      node,
 		announcer: announcer,
@@ -59,6 +61,7 @@
 		listener:  listener,
 		http:      client,
 		log:       l,
+		without:   set,
 	}
 	return serveServer, func() {
 		cleanup()
--- a/arbutus-balancer/fabric/forwarder.go
+++ b/arbutus-balancer/fabric/forwarder.go
@@ -32,6 +32,7 @@
 	"arbutusfront.dev/common/protocol/capsule"
 	"arbutusfront.dev/common/protocol/frame"
 	"arbutusfront.dev/common/protocol/ipv4"
+	"arbutusfront.dev/common/state/feature"
 	"arbutusfront.dev/common/state/placement"
 	"arbutusfront.dev/common/transport/datagram"
 	"arbutusfront.dev/common/transport/wait"
@@ -79,6 +80,9 @@
 		drops map[ipv4.Reason]tally.Counter
 		// skipsContactCheck allows forwarding without contact to another failure domain.
 		skipsContactCheck bool
+		// refusesUnconfigured disables the search for the holder of a flow while no
+		// configuration is known.
+		refusesUnconfigured bool
 		// mayForward is the result of the last contact check.
 		mayForward atomic.Bool
 		// lastReadUnixNano is when the last packets were read from the fabric; 0 if
@@ -109,6 +113,26 @@
 // holder of each flow.
 func WithPlacement() Option { return func(f *Forwarder) { f.placement = newPlacements(f.self.Domain) } }
 
+// Without switches off the features that concern the packet path. It must follow WithPlacement
+// and WithPendingPackets.
+func Without(s feature.Set) Option {
+	return func(f *Forwarder) {
+		f.refusesUnconfigured = s.Has(feature.UnconfiguredSearch)
+		if s.Has(feature.PendingPackets) {
+			f.pending = nil
+		}
+		if f.placement != nil {
+			f.placement.without = disabled{
+				rememberedFlows: s.Has(feature.RememberedFlows),
+				lessLoaded:      s.Has(feature.LessLoaded),
+				ownDomainFirst:  s.Has(feature.OwnDomainFirst),
+				runResets:       s.Has(feature.RunResets),
+				resetPacing:     s.Has(feature.ResetPacing),
+			}
+		}
+	}
+}
+
 // WithPendingPackets buffers packets for a short time that arrive before the balancer knows
 // where to forward them, such as right after its start.
 func WithPendingPackets() Option {
--- a/arbutus-balancer/fabric/loads.go
+++ b/arbutus-balancer/fabric/loads.go
@@ -32,7 +32,7 @@
 
 // lessLoaded returns the less loaded candidate, or nil without any. mu must be held.
 func (p *placements) lessLoaded(of topTwo, slots int, now time.Time) *placement.Candidate {
-	if of.second == nil {
+	if of.second == nil || p.without.lessLoaded {
 		return of.first
 	}
 	if p.loadOf(of.first.Name, now).Exceeds(p.loadOf(of.second.Name, now), p.slotsOf(of.first.Name, slots)) {
--- a/arbutus-balancer/fabric/placement.go
+++ b/arbutus-balancer/fabric/placement.go
@@ -44,6 +44,7 @@
 	// placements holds the remembered and unclaimed flows, searches and agents' loads.
 	placements struct {
 		domain    string
+		without   disabled
 		now       func() time.Time
 		unclaimed *unclaimed.Set
 
@@ -60,6 +61,11 @@
 		resetsDeferred bool
 	}
 
+	// disabled are the mechanisms that are switched off.
+	disabled struct {
+		rememberedFlows, lessLoaded, ownDomainFirst, runResets, resetPacing bool
+	}
+
 	// search lists the services that were queried for a flow's holder without success.
 	search struct {
 		queried   []capsule.ServiceKey
@@ -173,7 +179,7 @@
 		case !c.Admitting || slices.Contains(tried, c.Name):
 		case p.isSuspect(c.Name, now):
 			suspects.add(c, hash)
-		case c.Domain == p.domain:
+		case c.Domain == p.domain || p.without.ownDomainFirst:
 			near.add(c, hash)
 		default:
 			remote.add(c, hash)
@@ -215,7 +221,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	entry := p.flows[f.Key]
-	if entry == nil {
+	if entry == nil || p.without.rememberedFlows {
 		return destination{}, false, false
 	}
 	t, known := routes.Target(entry.service)
@@ -226,7 +232,7 @@
 	if !alive {
 		return destination{}, false, false
 	}
-	if entry.hasEnded(c) {
+	if p.hasEnded(entry, c) {
 		delete(p.flows, f.Key)
 		return destination{}, true, false
 	}
--- a/arbutus-balancer/fabric/remembered.go
+++ b/arbutus-balancer/fabric/remembered.go
@@ -94,8 +94,8 @@
 
 // hasEnded reports whether the backend server of the flow's agent c has restarted since it
 // took the flow. It is false if the run that took the flow is unknown.
-func (e *flowEntry) hasEnded(c *placement.Candidate) bool {
-	return e.serverRun != 0 && c.ServerRun > e.serverRun
+func (p *placements) hasEnded(e *flowEntry, c *placement.Candidate) bool {
+	return e.serverRun != 0 && c.ServerRun > e.serverRun && !p.without.runResets
 }
 
 // recordPacket updates the entry with the acknowledgment number and flags of a caller's
@@ -195,10 +195,10 @@
 			continue
 		}
 		c, alive := t.Agents.ByName(e.agent)
-		if !alive || !e.hasEnded(c) {
+		if !alive || !p.hasEnded(e, c) {
 			continue
 		}
-		if _, ok := t.Agents.FirstAdmitting(0, nil); !ok {
+		if _, ok := t.Agents.FirstAdmitting(0, nil); !ok && !p.without.resetPacing {
 			p.resetsDeferred = true
 			continue
 		}
--- a/arbutus-balancer/serve/mode.go
+++ b/arbutus-balancer/serve/mode.go
@@ -2,12 +2,14 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"arbutusfront.dev/arbutus-balancer/fabric"
 	"arbutusfront.dev/arbutus-balancer/state"
 	"arbutusfront.dev/arbutus-balancer/store"
 	kvstore "arbutusfront.dev/common/coordination/store"
+	"arbutusfront.dev/common/state/feature"
 )
 
 // Mode contains what differs between deployments of a balancer. The zero Mode is that of
@@ -45,6 +47,8 @@
 	// CatchUpTime is how long after its start the balancer compares its members with
 	// those of others, and merges what differs, at short intervals; 0 to disable.
 	CatchUpTime time.Duration
+	// Without are the features to switch off.
+	Without feature.Set
 	// Leaving replaces the default timing of a graceful stop, unless it is zero.
 	Leaving LeaveTiming
 }
@@ -88,6 +92,22 @@
 	}
 }
 
+// resolve returns the mode without what is switched off as a whole. The parts switch off the
+// other features themselves.
+func (m Mode) resolve() Mode {
+	if m.Without.Has(feature.Ledger) {
+		m.StoredFlows = false
+	}
+	if m.Without.Has(feature.StartSearch) {
+		m.CatchUpTime = 0
+	}
+	m.Fabric = append(slices.Clone(m.Fabric), fabric.Without(m.Without))
+	if m.Without.Has(feature.WatcherElection) {
+		m.Watch = append(slices.Clone(m.Watch), store.WithoutElection())
+	}
+	return m
+}
+
 // leaveTiming returns the timing of a graceful stop: Leaving, or the default if it is zero.
 func (m Mode) leaveTiming() LeaveTiming {
 	if m.Leaving == (LeaveTiming{}) {
--- a/arbutus-balancer/serve/serve.go
+++ b/arbutus-balancer/serve/serve.go
@@ -79,5 +79,5 @@
 // Build returns a balancer that is ready to run, and a function that releases its
 // resources.
 func Build(s *settings.Balancer, n network.Network, l log.Logger, m Mode) (*Server, func(), error) {
-	return build(s, n, l, m)
+	return build(s, n, l, m.resolve())
 }
--- a/arbutus-balancer/store/watcher.go
+++ b/arbutus-balancer/store/watcher.go
@@ -81,6 +81,8 @@
 		staleBound time.Duration
 		// watchers is how many balancers of each failure domain are elected.
 		watchers int
+		// electsAll makes all balancers watch.
+		electsAll bool
 		// eraGauge is the store's era, writtenBack counts the heads written back.
 		eraGauge    tally.Gauge
 		writtenBack tally.Counter
@@ -104,6 +106,9 @@
 	return func(w *Watcher) { w.wait, w.staleBound, w.watchers = wait, bound, 1 }
 }
 
+// WithoutElection makes all balancers watch the store.
+func WithoutElection() Option { return func(w *Watcher) { w.electsAll = true } }
+
 // WithoutChunkSpread disables the spreading of chunk reads, for stores whose client has
 // the chunks at hand once it has the head.
 func WithoutChunkSpread() Option { return func(w *Watcher) { w.chunkSpread = 0 } }
@@ -188,7 +193,7 @@
 // mustWatch reports whether this balancer is to watch the store now: it is elected, or
 // its last confirmation is stale.
 func (w *Watcher) mustWatch() bool {
-	if w.node.Table.Snapshot().Elected(w.self, watcherElection, w.watchers) {
+	if w.electsAll || w.node.Table.Snapshot().Elected(w.self, watcherElection, w.watchers) {
 		return true
 	}
 	age, known := w.node.Config.Age(time.Now())
