--- a/arbutus-lab/main.go
+++ b/arbutus-lab/main.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/subcommands"
 
+	"arbutusfront.dev/arbutus-lab/ablation"
 	"arbutusfront.dev/arbutus-lab/demo"
 	"arbutusfront.dev/arbutus-lab/load"
 	"arbutusfront.dev/arbutus-lab/report"
@@ -27,5 +28,6 @@
 		c.Register(run.New(streams), "")
 		c.Register(report.New(streams), "")
 		c.Register(soak.New(streams, nil), "")
+		c.Register(ablation.New(streams), "")
 	}))
 }
