Keep control traffic within failure domains

Change: agents are monitored by balancers of their own failure domain, as far as it has them. A change is sent to one balancer of each other failure domain only by those that learn of it first-hand, and spread from there within the failure domain. Three of four digests and pulls stay near.

--- a/arbutus-agent/passthrough/serve/server.go
+++ b/arbutus-agent/passthrough/serve/server.go
@@ -139,10 +139,9 @@
 		server.Run(running, s.listener, s.Handler()),
 	)
 	self := s.announcer.Self()
-	_ = level.Info(s.log).Log(
+	_ = level.Info(s.log).Log(append([]any{
 		"event", "started", "name", self.Name, "service", self.Service, "domain", self.Domain, "instance", self.Instance,
-		"without", s.without,
-	)
+	}, s.without.LogFields()...)...)
 	select {
 	case <-ctx.Done():
 		s.leave(group.Ended())
--- a/arbutus-balancer/balancer/gossip.go
+++ b/arbutus-balancer/balancer/gossip.go
@@ -5,6 +5,7 @@
 	"context"
 	"maps"
 	"math/bits"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -18,6 +19,10 @@
 // gossip sends changes to a few peers in each round and, while there are none, the digest
 // of the table to one peer at longer intervals. A new revision is announced at once. It
 // runs until ctx is canceled.
+//
+// Traffic between failure domains is expensive, so that changes and digests mostly stay within
+// one. A change is sent to one balancer of each other failure domain only by the balancers that
+// learn of it first-hand: from the member itself, or by declaring it dead.
 func (p *Peers) gossip(ctx context.Context) error {
 	lastDigestAt := p.now()
 	for {
@@ -28,25 +33,49 @@
 			timer.Stop()
 			return nil
 		case <-configChanged:
-			p.spread(nil, fanout)
+			p.spreadRevision()
 		case <-p.gossipNow:
 		case <-timer.C:
 		}
 		timer.Stop()
-		if changes := p.takeRumors(); len(changes) > 0 {
-			for part := range slices.Chunk(changes, changesPerSend) {
-				p.spread(part, fanout)
-			}
-		} else if p.now().Sub(lastDigestAt) >= digestInterval {
+		near, far := p.takeRumors()
+		for part := range slices.Chunk(near, changesPerSend) {
+			p.spread(part, pickRandom(p.near(), fanout))
+		}
+		for part := range slices.Chunk(far, changesPerSend) {
+			p.spread(part, p.oneOfEachOtherDomain())
+		}
+		if len(near)+len(far) == 0 && p.now().Sub(lastDigestAt) >= digestInterval {
 			lastDigestAt = p.now()
-			p.spread(nil, 1)
+			p.spread(nil, p.digestPeer())
+		}
+	}
+}
+
+// spreadRevision announces the revision in force to a few balancers of this failure domain and,
+// unless it was fetched from a balancer, to one of each other failure domain.
+func (p *Peers) spreadRevision() {
+	to := pickRandom(p.near(), fanout)
+	if p.node.Config.Current().Number() != p.fetchedRevision.Load() {
+		to = append(to, p.oneOfEachOtherDomain()...)
+	}
+	p.spread(nil, to)
+}
+
+// digestPeer returns the balancer that the next digest is sent to: every farDigestEvery-th time
+// one of another failure domain, and otherwise one of this failure domain.
+func (p *Peers) digestPeer() []member.Member {
+	if rand.N(farDigestEvery) != 0 {
+		if near := p.near(); len(near) > 0 {
+			return pickRandom(near, 1)
 		}
 	}
+	return pickRandom(p.far(), 1)
 }
 
 // spread sends the changes, the number of the revision in force and the digest of the
-// table to n random balancers.
-func (p *Peers) spread(changes []member.Member, n int) {
+// table to the balancers.
+func (p *Peers) spread(changes []member.Member, to []member.Member) {
 	g := &controlv1.Gossip{
 		Sender:      p.announcer.Self().Encode(),
 		Changes:     member.EncodeAll(changes),
@@ -55,33 +84,38 @@
 
 		RevisionAgeMillis: p.revisionAge(),
 	}
-	for _, b := range pickRandom(p.others(), n) {
+	for _, b := range to {
 		p.send(b.Packet, &controlv1.Datagram{Body: &controlv1.Datagram_Gossip{Gossip: g}})
 	}
 }
 
-// takeRumors returns the changes to send in this round, up to a bound, those that were sent
-// least often first, and counts the round for each. A change is dropped after a number of
-// rounds that grows with the logarithm of the number of balancers.
-func (p *Peers) takeRumors() []member.Member {
-	rounds := bits.Len(uint(len(p.others()))) + extraRounds
+// takeRumors returns the changes to send in this round to this failure domain and to the others,
+// up to a bound, those that were sent least often first, and counts the round for each. A change
+// is dropped after a number of rounds that grows with the logarithm of the number of balancers
+// in this failure domain. It is sent to other failure domains in the first round only: several
+// balancers do so, and the comparison of digests finds what is lost.
+func (p *Peers) takeRumors() (near, far []member.Member) {
+	rounds := bits.Len(uint(len(p.near()))) + extraRounds
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var changes []member.Member
-	ids := slices.SortedFunc(maps.Keys(p.rumorRounds), func(a, b member.ID) int {
-		return cmp.Compare(p.rumorRounds[a], p.rumorRounds[b])
+	ids := slices.SortedFunc(maps.Keys(p.rumors), func(a, b member.ID) int {
+		return cmp.Compare(p.rumors[a].rounds, p.rumors[b].rounds)
 	})
 	for _, id := range ids[:min(len(ids), changesPerSend*sendsPerRound)] {
-		sent := p.rumorRounds[id]
+		r := p.rumors[id]
 		if m, ok := p.node.Table.Get(id); ok {
-			changes = append(changes, m)
+			near = append(near, m)
+			if r.firstHand && r.rounds == 0 {
+				far = append(far, m)
+			}
 		}
-		p.rumorRounds[id] = sent + 1
-		if sent+1 >= rounds {
-			delete(p.rumorRounds, id)
+		r.rounds++
+		p.rumors[id] = r
+		if r.rounds >= rounds {
+			delete(p.rumors, id)
 		}
 	}
-	return changes
+	return near, far
 }
 
 // handleGossip merges the changes in a gossip message, and queues a pull if the sender has
@@ -92,7 +126,7 @@
 		return
 	}
 	p.node.RecordContact(sender.Domain, p.now())
-	p.Learn(sender)
+	p.learnFromPeer(sender)
 	if known, ok := p.node.Table.Get(sender.ID()); ok && !known.Phase.Alive() {
 		// The sender was cut off or paused. Its reports on other members are ignored
 		// until it has announced a later version of itself.
@@ -113,14 +147,14 @@
 	})
 }
 
-// learnFromPeer merges a member that another balancer reports. A report on this balancer
-// itself is ignored here: if it is wrong, the announcer refutes it when the next
-// heartbeat is acknowledged.
+// learnFromPeer merges a member that another balancer reports, and spreads it within this
+// failure domain if it is a change. A report on this balancer itself is ignored here: if it is
+// wrong, the announcer refutes it when the next heartbeat is acknowledged.
 func (p *Peers) learnFromPeer(m member.Member) {
 	if m.ID() == p.announcer.Self().ID() {
 		return
 	}
-	p.Learn(m)
+	p.learn(m, false)
 }
 
 // queuePull queues a pull if there is anything to pull. It drops the pull if the queue is
@@ -156,7 +190,7 @@
 // after the start.
 func (p *Peers) catchUp(ctx context.Context) error {
 	for end := p.now().Add(p.catchUpTime); p.now().Before(end) && wait.For(ctx, catchUpInterval); {
-		if b, ok := p.randomPeer(); ok {
+		for _, b := range p.digestPeer() {
 			p.queuePull(pull{from: b, members: true})
 		}
 	}
@@ -171,6 +205,7 @@
 		_ = level.Warn(p.log).Log("event", "pull_failed", "peer", from.Name, "err", err)
 		return
 	}
+	p.fetchedRevision.Store(r.Number())
 	if p.node.Config.Adopt(r) {
 		_ = level.Info(p.log).Log("event", "revision_adopted", "revision", r.Number(), "from", from.Name)
 	}
--- a/arbutus-balancer/balancer/learn.go
+++ b/arbutus-balancer/balancer/learn.go
@@ -6,17 +6,22 @@
 	"arbutusfront.dev/common/coordination/member"
 )
 
-// Learn merges a member into the table, spreads it by gossip if it is a change, and
-// reports whether it is one. Changes beyond maxRumors, such as after a start of the whole
-// deployment, are left to the comparison of digests.
-func (p *Peers) Learn(m member.Member) bool {
+// Learn merges a member that this balancer has learned of first-hand into the table, spreads it
+// by gossip if it is a change, and reports whether it is one.
+func (p *Peers) Learn(m member.Member) bool { return p.learn(m, true) }
+
+// learn merges a member into the table, spreads it by gossip if it is a change, and reports
+// whether it is one: in all failure domains if it was learned first-hand, and otherwise in this
+// one. Changes beyond maxRumors, such as after a start of the whole deployment, are left to the
+// comparison of digests.
+func (p *Peers) learn(m member.Member, firstHand bool) bool {
 	if !p.merge(m) {
 		return false
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.rumorRounds) < maxRumors {
-		p.rumorRounds[m.ID()] = 0
+	if len(p.rumors) < maxRumors {
+		p.rumors[m.ID()] = rumor{firstHand: firstHand}
 	}
 	return true
 }
--- a/arbutus-balancer/balancer/peers.go
+++ b/arbutus-balancer/balancer/peers.go
@@ -18,7 +18,6 @@
 	"errors"
 	"maps"
 	"math"
-	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -45,8 +44,11 @@
 	// fanout is the number of random balancers that a change is sent to in each round.
 	fanout = 3
 	// extraRounds is the number of rounds in which a change is sent, in addition to the
-	// bit length of the number of other balancers.
+	// bit length of the number of other balancers in the failure domain.
 	extraRounds = 2
+	// farDigestEvery is how many digests are sent for each one that goes to another failure
+	// domain.
+	farDigestEvery = 4
 	// changesPerSend bounds the changes in one message.
 	changesPerSend = 8
 	// sendsPerRound bounds the messages of a round when there are many changes at once,
@@ -80,11 +82,14 @@
 		// synced is set once the differing part of another balancer's table has been
 		// merged.
 		synced atomic.Bool
+		// fetchedRevision is the number of the last revision that was fetched from another
+		// balancer; 0 if there is none.
+		fetchedRevision atomic.Uint64
 
 		mu sync.Mutex
-		// rumorRounds counts the rounds in which each change has been sent.
-		rumorRounds map[member.ID]int
-		suspicions  map[member.ID]*suspicion
+		// rumors are the changes that are being sent.
+		rumors     map[member.ID]rumor
+		suspicions map[member.ID]*suspicion
 		// disputedVersions holds the members that other balancers have declared dead
 		// although this balancer still receives their heartbeats, with the version that
 		// was declared dead.
@@ -94,6 +99,13 @@
 		partitionedCache regionCache
 	}
 
+	// rumor is the state of a change that is being sent: the rounds in which it was sent, and
+	// whether this balancer learned of it first-hand.
+	rumor struct {
+		rounds    int
+		firstHand bool
+	}
+
 	// Fetch holds the functions that fetch a revision, and the members that differ, from
 	// another balancer at its control address.
 	Fetch struct {
@@ -154,7 +166,7 @@
 		now:              time.Now,
 		pulls:            make(chan pull, pullQueue),
 		gossipNow:        make(chan struct{}, 1),
-		rumorRounds:      make(map[member.ID]int),
+		rumors:           make(map[member.ID]rumor),
 		disputedVersions: make(map[member.ID]uint64),
 		suspicions:       make(map[member.ID]*suspicion),
 		viewDigests:      make(map[string]cachedDigest),
@@ -301,7 +313,7 @@
 	}
 	p.node.RecordContact(monitor.Domain, p.now())
 	if monitor.IsComplete() {
-		p.Learn(monitor)
+		p.learnFromPeer(monitor)
 	}
 	p.announcer.HandleAck(ack)
 	p.confirmRevision(ack.GetRevision(), ack.GetRevisionAgeMillis())
@@ -350,7 +362,7 @@
 	if n.GetDomainOut() {
 		p.node.BlockDomain(m.Domain, n.GetRevision())
 	}
-	if b, ok := p.randomPeer(); ok {
+	for _, b := range p.digestPeer() {
 		p.queuePull(pull{from: b, revision: true})
 	}
 }
@@ -369,25 +381,3 @@
 	}
 	return nil
 }
-
-// others returns the other live balancers.
-func (p *Peers) others() []member.Member {
-	self := p.announcer.Self()
-	return p.node.Table.Snapshot().Select(func(m member.Member) bool {
-		return m.Role == member.Balancer && m.Phase.Alive() && m.Name != self.Name
-	})
-}
-
-func (p *Peers) randomPeer() (member.Member, bool) {
-	picked := pickRandom(p.others(), 1)
-	if len(picked) == 0 {
-		return member.Member{}, false
-	}
-	return picked[0], true
-}
-
-// pickRandom returns up to n random members. It shuffles the slice.
-func pickRandom(members []member.Member, n int) []member.Member {
-	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
-	return members[:min(n, len(members))]
-}
--- a/arbutus-balancer/serve/server.go
+++ b/arbutus-balancer/serve/server.go
@@ -72,8 +72,9 @@
 	group := tasks.Gather(s.runParts(running)...)
 	s.setPhase(member.Serving)
 	self := s.announcer.Self()
-	_ = level.Info(s.log).Log("event", "started", "name", self.Name, "domain", self.Domain, "instance", self.Instance,
-		"without", s.mode.Without)
+	_ = level.Info(s.log).Log(append([]any{
+		"event", "started", "name", self.Name, "domain", self.Domain, "instance", self.Instance,
+	}, s.mode.Without.LogFields()...)...)
 	select {
 	case <-ctx.Done():
 		s.leave()
--- a/common/coordination/member/monitor.go
+++ b/common/coordination/member/monitor.go
@@ -17,13 +17,22 @@
 }
 
 // Monitors returns the balancers that monitor the member. They are chosen by rendezvous
-// hashing of the member's name: the highest-ranking balancer of each failure domain, up to
-// MonitorCount, then the next in rank of any domain if there are too few domains.
-// Only balancers that are joining or serving are chosen, and none monitors itself.
+// hashing of the member's name. A balancer is monitored by the highest-ranking balancer of each
+// failure domain, up to MonitorCount, so that the loss of its own one is noticed. An agent is
+// monitored by balancers of its own failure domain: there are many agents, and traffic between
+// failure domains is expensive. If they are lost together, other balancers become the agent's
+// monitors. Missing monitors are the next in rank of any domain. Only balancers that are joining
+// or serving are chosen, and none monitors itself.
 func (s *Snapshot) Monitors(m Member) []Member {
-	chosen := s.highestPerDomain(m)
-	slices.SortFunc(chosen, func(a, b ranked) int { return cmp.Compare(b.score, a.score) })
-	chosen = chosen[:min(len(chosen), MonitorCount)]
+	var chosen []ranked
+	if m.Role == Agent {
+		chosen = s.highestInDomain(m)
+	}
+	for _, r := range s.highestPerDomain(m) {
+		if len(chosen) < MonitorCount && !slices.Contains(chosen, r) {
+			chosen = append(chosen, r)
+		}
+	}
 	for len(chosen) < MonitorCount {
 		next := s.highestExcept(m, chosen)
 		if next.balancer == nil {
@@ -38,8 +47,24 @@
 	return monitors
 }
 
-// highestPerDomain returns the highest-ranking balancer of each failure domain. A balancer
-// doesn't monitor itself.
+// highestInDomain returns up to MonitorCount balancers of the member's own failure domain, in
+// their order of rank.
+func (s *Snapshot) highestInDomain(m Member) []ranked {
+	seed := xxh3.HashString(m.Name)
+	var highest []ranked
+	for i := range s.activeBalancers() {
+		if b := &s.active[i]; b.Domain == m.Domain && b.Name != m.Name {
+			highest = append(highest, ranked{balancer: b, score: xxh3.HashStringSeed(b.Name, seed)})
+		}
+	}
+	slices.SortFunc(highest, byRank)
+	return highest[:min(len(highest), MonitorCount)]
+}
+
+func byRank(a, b ranked) int { return cmp.Compare(b.score, a.score) }
+
+// highestPerDomain returns the highest-ranking balancer of each failure domain, in their order
+// of rank. A balancer doesn't monitor itself.
 func (s *Snapshot) highestPerDomain(m Member) []ranked {
 	seed := xxh3.HashString(m.Name)
 	var highest []ranked
@@ -57,6 +82,7 @@
 			highest[at] = r
 		}
 	}
+	slices.SortFunc(highest, byRank)
 	return highest
 }
 
--- a/common/state/feature/feature.go
+++ b/common/state/feature/feature.go
@@ -115,6 +115,14 @@
 // Has reports whether the set contains the feature.
 func (s Set) Has(n Name) bool { return s.names[n] }
 
+// LogFields returns the key and value that a process logs at its start, or none for the empty set.
+func (s Set) LogFields() []any {
+	if len(s.names) == 0 {
+		return nil
+	}
+	return []any{"without", s.String()}
+}
+
 // String returns the names in order, separated by commas.
 func (s Set) String() string {
 	var out []string
--- a/common/transport/memory/memory.go
+++ b/common/transport/memory/memory.go
@@ -63,6 +63,8 @@
 		observe   func(from, to netip.AddrPort, b []byte)
 		closed    bool
 		traffic   map[netip.Addr]Traffic
+		// sentBytes has the bytes sent by each host, by destination.
+		sentBytes map[netip.Addr]map[netip.Addr]int
 	}
 
 	// Traffic is the traffic of one host. SentBytes and ReceivedBytes include datagrams
@@ -102,6 +104,7 @@
 		observe:   func(netip.AddrPort, netip.AddrPort, []byte) {},
 		nextPort:  ephemeralPortBase,
 		traffic:   make(map[netip.Addr]Traffic),
+		sentBytes: make(map[netip.Addr]map[netip.Addr]int),
 	}
 }
 
@@ -128,6 +131,22 @@
 	return n.traffic[a]
 }
 
+// SentBytes returns the bytes of datagrams and streams that were sent so far, from and to hosts
+// for which match returns true.
+func (n *Network) SentBytes(match func(from, to netip.Addr) bool) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	sum := 0
+	for from, sent := range n.sentBytes {
+		for to, bytes := range sent {
+			if match(from, to) {
+				sum += bytes
+			}
+		}
+	}
+	return sum
+}
+
 // addTraffic adds data that is being sent to the traffic of both hosts. Datagrams is 0 for
 // streams. n.mu must be held.
 func (n *Network) addTraffic(from, to netip.Addr, bytes, datagrams int) {
@@ -142,6 +161,10 @@
 	received.ReceivedBytes += bytes
 	received.ReceivedDatagrams += datagrams
 	n.traffic[to] = received
+	if n.sentBytes[from] == nil {
+		n.sentBytes[from] = make(map[netip.Addr]int)
+	}
+	n.sentBytes[from][to] += bytes
 }
 
 // Host returns the network as seen by the host with the address. Its ListenPacket binds to
