Let the calls to the store hardly grow with the fleet

Change: one balancer of each group of 32 in a failure domain fetches the ledgers of the others every 2 s and writes them as one value under one lease, which is renewed also while flows don't change. Three balancers of the whole fleet watch, in different failure domains, for half of the time within which changes must be in force; others step in one after the other if their reports are old.

--- a/arbutus-balancer/operator/operator.go
+++ b/arbutus-balancer/operator/operator.go
@@ -36,14 +36,17 @@
 	key    control.Key
 	client *http.Client
 	self   func() member.Member
+	// ledger returns the balancer's encoded ledger, of at most maxBytes.
+	ledger func(maxBytes int) ([]byte, error)
 }
 
 // New returns the control API of the balancer self. It calls other balancers with the
-// client.
+// client. The function ledger returns the balancer's encoded ledger.
 func New(
 	node *state.Node, peers *balancer.Peers, key control.Key, client *http.Client, self func() member.Member,
+	ledger func(maxBytes int) ([]byte, error),
 ) *Server {
-	return &Server{node: node, peers: peers, key: key, client: client, self: self}
+	return &Server{node: node, peers: peers, key: key, client: client, self: self, ledger: ledger}
 }
 
 // Handler returns the path to register the service under, and its handler.
@@ -122,6 +125,17 @@
 	return connect.NewResponse(m), nil
 }
 
+// GetLedger implements controlv1connect.PeerServiceHandler.
+func (s *Server) GetLedger(
+	_ context.Context, r *connect.Request[controlv1.GetLedgerRequest],
+) (*connect.Response[controlv1.GetLedgerResponse], error) {
+	b, err := s.ledger(int(r.Msg.GetMaxBytes()))
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(&controlv1.GetLedgerResponse{Ledger: b}), nil
+}
+
 // Status implements controlv1connect.PeerServiceHandler. A local status lists this balancer
 // and the members that it has received heartbeats from. A full one is merged with those of
 // the other balancers.
--- a/arbutus-balancer/serve/providers.go
+++ b/arbutus-balancer/serve/providers.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"net/netip"
@@ -179,7 +180,12 @@
 func provideLedger(
 	c clients, n *state.Node, self member.Member, f *fabric.Forwarder, l log.Logger,
 ) *store.Ledger {
-	return store.NewLedger(c.store, n, self, l, f.RememberedFlows, f.Restore)
+	fetch := func(ctx context.Context, m member.Member, maxBytes int) ([]byte, error) {
+		return c.peer.Ledger(ctx, m.Control, maxBytes)
+	}
+	return store.NewLedger(c.store, n, self, l, store.Flows{
+		Remembered: f.RememberedFlows, Restore: f.Restore, Fetch: fetch,
+	})
 }
 
 func provideCollector(c clients, n *state.Node, self member.Member, l log.Logger) *store.Collector {
@@ -187,9 +193,9 @@
 }
 
 func provideOperator(
-	n *state.Node, p *balancer.Peers, key control.Key, c clients, a *heartbeat.Announcer,
+	n *state.Node, p *balancer.Peers, key control.Key, c clients, a *heartbeat.Announcer, l *store.Ledger,
 ) *operator.Server {
-	return operator.New(n, p, key, c.http, a.Self)
+	return operator.New(n, p, key, c.http, a.Self, l.Own)
 }
 
 func provideStart() time.Time { return time.Now() }
--- a/arbutus-balancer/store/ledger.go
+++ b/arbutus-balancer/store/ledger.go
@@ -3,20 +3,18 @@
 import (
 	"bytes"
 	"context"
-	"encoding/binary"
+	"maps"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
-	"google.golang.org/protobuf/proto"
+	"github.com/zeebo/errs"
 
 	"arbutusfront.dev/arbutus-balancer/fabric"
 	"arbutusfront.dev/arbutus-balancer/state"
 	"arbutusfront.dev/common/coordination/member"
 	"arbutusfront.dev/common/coordination/store"
-	"arbutusfront.dev/common/protocol/capsule"
-	controlv1 "arbutusfront.dev/common/protocol/gen/arbutus/control/v1"
-	"arbutusfront.dev/common/protocol/ipv4"
 	"arbutusfront.dev/common/transport/wait"
 )
 
@@ -30,54 +28,73 @@
 	// ledgerTTL is how long a ledger outlives its balancer. A flow that is unused for
 	// longer may be discarded.
 	ledgerTTL = time.Minute
-	// ledgerRenewals is how many times within ledgerTTL a write renews the lease, at
-	// most.
+	// ledgerRenewals is how many times within ledgerTTL the lease is renewed.
 	ledgerRenewals = 3
-	// maxLedgerBytes is below the platform's limit for a value, 1 MB.
-	maxLedgerBytes = 768 << 10
-
-	// holderBytes exceeds the encoded size of a holder without its name and flows.
-	holderBytes         = 40
-	acknowledgmentBytes = 4
-	ledgerFlowBytes     = ipv4.FlowKeyBytes + acknowledgmentBytes
+	// collectTimeout bounds how long a write waits for the ledgers of other balancers of the
+	// failure domain, which respond within some milliseconds.
+	collectTimeout = 300 * time.Millisecond
 )
 
+// errNotRestored means that the balancer has not read its ledger of the previous run yet, which
+// must not be replaced before.
+var errNotRestored = errs.New("the ledger of the previous run has not been restored yet")
+
 type (
-	// Ledger saves the flows that a balancer remembers in the store, for its next run.
-	// After a power loss of all machines, no other process knows which callers have flows
-	// to backend servers that were restarted.
+	// Ledger saves the flows that balancers remember in the store, for their next runs. After
+	// a power loss of all machines, no other process knows which callers have flows to
+	// backend servers that were restarted.
+	//
+	// One balancer of each group writes the ledgers of all: it fetches them from the others,
+	// which are in its failure domain, so that the number of calls to the store hardly grows
+	// with the number of balancers.
 	Ledger struct {
 		client *store.Client
 		node   *state.Node
 		self   member.Member
 		log    log.Logger
-		// remembered returns the balancer's flows. restoreFlows passes those of the
-		// previous run to the balancer.
-		remembered   func() []fabric.RememberedFlow
-		restoreFlows func(flows []fabric.RememberedFlow)
-
-		// version is the version of the ledger's key in the store, lastValue the value
-		// that was last written, and leaseID the lease under which it is stored; 0 for
-		// none. They are valid in the given era of the store.
+		flows  Flows
+		// restored is set once the ledger of the previous run was restored, or can't be.
+		restored atomic.Bool
+
+		// The following belong to the goroutine that writes. ledgers has the latest ledger of
+		// each balancer of the group; it is complete once those in the store were merged.
+		ledgers map[string]groupLedger
+		merged  bool
+		// version is the version of the group's key in the store, lastValue the value that was
+		// last written, and leaseID the lease under which it is stored; 0 for none. They are
+		// valid for the key in the given era of the store.
+		key       string
 		era       uint64
 		version   uint64
 		lastValue []byte
 		leaseID   uint64
 		renewedAt time.Time
 	}
+
+	// Flows are the functions that connect a ledger with the flows of balancers.
+	Flows struct {
+		// Remembered returns this balancer's flows.
+		Remembered func() []fabric.RememberedFlow
+		// Restore passes the flows of its previous run to this balancer.
+		Restore func(flows []fabric.RememberedFlow)
+		// Fetch returns the encoded ledger of another balancer, of at most maxBytes.
+		Fetch func(ctx context.Context, m member.Member, maxBytes int) ([]byte, error)
+	}
+
+	// groupLedger is the encoded ledger of one balancer, and when it was fetched.
+	groupLedger struct {
+		encoded   []byte
+		fetchedAt time.Time
+	}
 )
 
-// NewLedger returns the ledger of the balancer self. It saves the flows that remembered
-// returns, and passes those of the previous run to restoreFlows.
-func NewLedger(
-	client *store.Client, node *state.Node, self member.Member, logger log.Logger,
-	remembered func() []fabric.RememberedFlow, restoreFlows func(flows []fabric.RememberedFlow),
-) *Ledger {
-	return &Ledger{client: client, node: node, self: self, log: logger, remembered: remembered, restoreFlows: restoreFlows}
+// NewLedger returns the ledger of the balancer self.
+func NewLedger(client *store.Client, node *state.Node, self member.Member, logger log.Logger, flows Flows) *Ledger {
+	return &Ledger{client: client, node: node, self: self, log: logger, flows: flows}
 }
 
-// Run restores the flows of the previous run, then writes the ledger periodically until
-// ctx is canceled. The channel receives nil then.
+// Run restores the flows of the previous run, then writes the ledgers of the group periodically,
+// while this balancer is the one that does, until ctx is canceled. The channel receives nil then.
 func (l *Ledger) Run(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
 	go func() {
@@ -88,28 +105,51 @@
 	return done
 }
 
-// restore reads the ledger of the previous run and passes its flows to restoreFlows. It
-// retries until the store responds, so that the ledger is not overwritten before it is
-// read. If the ledger can't be decoded, no flows are restored.
+// Own returns this balancer's encoded ledger, of at most maxBytes. It returns an error as long
+// as the ledger of the previous run has not been restored.
+func (l *Ledger) Own(maxBytes int) ([]byte, error) {
+	if !l.restored.Load() {
+		return nil, errNotRestored
+	}
+	return encodeLedger(l.flows.Remembered(), maxBytes)
+}
+
+// restore reads the ledger of the previous run and restores its flows. It retries until the
+// store responds, so that the ledger is not overwritten before it is read.
 func (l *Ledger) restore(ctx context.Context) {
 	for attempt := 0; ctx.Err() == nil; attempt++ {
-		e, err := l.client.Get(ctx, store.LedgerKey(l.self.Name))
+		entries, err := l.client.List(ctx, store.DomainLedgers(l.self.Domain))
 		if err != nil {
 			pause := retry.After(attempt)
 			_ = level.Warn(l.log).Log("event", "ledger_unreachable", "attempt", attempt, "retry_in", pause, "err", err)
 			wait.For(ctx, pause)
 			continue
 		}
-		l.version = e.Version
-		flows, err := decodeLedger(e.Value)
-		if err != nil {
-			_ = level.Error(l.log).Log("event", "ledger_unreadable", "version", e.Version, "err", err)
-			return
+		for _, e := range entries {
+			l.restoreEntry(e)
 		}
-		l.restoreFlows(flows)
-		_ = level.Info(l.log).Log("event", "ledger_restored", "version", e.Version, "flows", len(flows))
+		l.restored.Store(true)
+		return
+	}
+}
+
+// restoreEntry restores the flows of this balancer if the entry has a ledger of it. One that
+// can't be decoded is passed over.
+func (l *Ledger) restoreEntry(e store.Entry) {
+	ledgers, err := decodeGroup(e.Value)
+	var flows []fabric.RememberedFlow
+	own, ok := ledgers[l.self.Name]
+	if err == nil && ok {
+		flows, err = decodeLedger(own)
+	}
+	if err != nil {
+		_ = level.Error(l.log).Log("event", "ledger_unreadable", "key", e.Key, "version", e.Version, "err", err)
 		return
 	}
+	if ok {
+		l.flows.Restore(flows)
+		_ = level.Info(l.log).Log("event", "ledger_restored", "version", e.Version, "flows", len(flows))
+	}
 }
 
 func (l *Ledger) writePeriodically(ctx context.Context) {
@@ -126,50 +166,121 @@
 	}
 }
 
-// interval returns the time between two writes, which grows with the number of balancers.
-func (l *Ledger) interval() time.Duration {
-	balancers := l.node.Table.Snapshot().Select(func(m member.Member) bool {
-		return m.Role == member.Balancer && m.Phase.Alive()
-	})
-	return max(ledgerInterval, time.Duration(len(balancers))*time.Second/ledgerWritesPerSecond)
+// write fetches the ledgers of the group, and stores them if they differ from the last value
+// written or the store has been restored since. It does nothing if another balancer writes those
+// of the group. If the stored value has another version than expected, the next call merges it.
+func (l *Ledger) write(ctx context.Context) error {
+	g, elected := groupOf(l.node.Table.Snapshot(), l.self)
+	if !elected {
+		l.ledgers, l.merged, l.lastValue = nil, false, nil
+		return nil
+	}
+	if key, era := store.LedgerKey(l.self.Domain, g.number), l.client.Eras.Current(); key != l.key || era != l.era {
+		l.key, l.era, l.leaseID, l.lastValue, l.merged = key, era, 0, nil, false
+	}
+	now := time.Now()
+	if err := l.collect(ctx, g.members, now); err != nil {
+		return err
+	}
+	if err := l.merge(ctx, now); err != nil {
+		return err
+	}
+	maps.DeleteFunc(l.ledgers, func(_ string, b groupLedger) bool { return now.Sub(b.fetchedAt) > ledgerTTL })
+	value, err := encodeGroup(l.ledgers)
+	if err != nil {
+		return err
+	}
+	lease := l.leaseID
+	if err := l.renewLease(ctx); err != nil {
+		return err
+	}
+	if bytes.Equal(value, l.lastValue) && l.leaseID == lease {
+		return nil
+	}
+	return l.swap(ctx, value)
 }
 
-// write stores the ledger if it differs from the last value written, or if the store has been
-// restored since. If the stored ledger has another version than expected, write only records
-// that version for the next call.
-func (l *Ledger) write(ctx context.Context) error {
-	value, err := encodeLedger(l.remembered())
+// collect fetches the ledgers of the other balancers of the group, and adds this balancer's own.
+// Those that don't respond in time keep the ledger that was fetched last.
+func (l *Ledger) collect(ctx context.Context, others []member.Member, now time.Time) error {
+	if l.ledgers == nil {
+		l.ledgers = make(map[string]groupLedger)
+	}
+	maxBytes := maxGroupBytes / (len(others) + 1)
+	own, err := l.Own(maxBytes)
 	if err != nil {
 		return err
 	}
-	if era := l.client.Eras.Current(); era != l.era {
-		l.era, l.leaseID, l.lastValue = era, 0, nil
+	l.ledgers[l.self.Name] = groupLedger{encoded: own, fetchedAt: now}
+	ctx, cancel := context.WithTimeout(ctx, collectTimeout)
+	defer cancel()
+	fetched := make([][]byte, len(others))
+	done := make(chan struct{}, len(others))
+	for i, m := range others {
+		go func() {
+			// A balancer that is ending, or has not restored its own ledger yet, keeps
+			// the one that was fetched last.
+			if b, err := l.flows.Fetch(ctx, m, maxBytes); err == nil && len(b) <= maxBytes {
+				fetched[i] = b
+			}
+			done <- struct{}{}
+		}()
+	}
+	for range others {
+		<-done
+	}
+	for i, m := range others {
+		if fetched[i] != nil {
+			l.ledgers[m.Name] = groupLedger{encoded: fetched[i], fetchedAt: now}
+		}
 	}
-	if bytes.Equal(value, l.lastValue) {
+	return nil
+}
+
+// merge adds the ledgers in the store of balancers of which none was fetched, unless that was done
+// before. A value that can't be decoded is replaced.
+func (l *Ledger) merge(ctx context.Context, now time.Time) error {
+	if l.merged {
 		return nil
 	}
-	if err := l.renewLease(ctx); err != nil {
+	e, err := l.client.Get(ctx, l.key)
+	if err != nil {
 		return err
 	}
-	w := store.Write{Key: store.LedgerKey(l.self.Name), ExpectedVersion: l.version, Value: value, Lease: l.leaseID}
-	swap, err := l.client.CompareAndSwap(ctx, w)
+	stored, err := decodeGroup(e.Value)
+	if err != nil {
+		_ = level.Error(l.log).Log("event", "ledger_unreadable", "key", e.Key, "version", e.Version, "err", err)
+	}
+	for name, encoded := range stored {
+		if _, ok := l.ledgers[name]; !ok {
+			l.ledgers[name] = groupLedger{encoded: encoded, fetchedAt: now}
+		}
+	}
+	l.version, l.merged = e.Version, true
+	return nil
+}
+
+// swap writes the value if the stored one has the expected version.
+func (l *Ledger) swap(ctx context.Context, value []byte) error {
+	swap, err := l.client.CompareAndSwap(ctx, store.Write{
+		Key: l.key, ExpectedVersion: l.version, Value: value, Lease: l.leaseID,
+	})
 	if err != nil {
-		// The write may have taken effect. The next one then fails its compare-and-swap
-		// and returns the current version. The lease may be gone, so it is renewed first.
-		l.renewedAt = time.Time{}
+		// The write may have taken effect, so the next one reads the version again. The
+		// lease may be gone, so it is renewed first.
+		l.renewedAt, l.merged, l.lastValue = time.Time{}, false, nil
 		return err
 	}
-	l.version = swap.Entry.Version
+	l.version, l.merged, l.lastValue = swap.Entry.Version, swap.Swapped, nil
 	if swap.Swapped {
 		l.lastValue = value
 	}
 	return nil
 }
 
-// renewLease renews the lease under which the ledger is stored, or acquires one. The
-// ledger of a balancer that does not return expires with the lease. So does that of a
-// balancer whose ledger is unchanged for ledgerTTL, because only a write renews the
-// lease.
+// renewLease renews the lease under which the ledgers are stored, or acquires one. The ledger of
+// a balancer that does not return is kept as long as others of its group write; if none does, it
+// expires with the lease.
 func (l *Ledger) renewLease(ctx context.Context) error {
 	now := time.Now()
 	if l.leaseID != 0 && now.Sub(l.renewedAt) < ledgerTTL/ledgerRenewals {
@@ -192,49 +303,3 @@
 	l.leaseID, l.renewedAt = id, now
 	return nil
 }
-
-// encodeLedger encodes the flows, which must be ordered by holder. Flows beyond
-// maxLedgerBytes are left out.
-func encodeLedger(flows []fabric.RememberedFlow) ([]byte, error) {
-	ledger := new(controlv1.FlowLedger)
-	var holder *controlv1.FlowHolder
-	size := 0
-	for _, f := range flows {
-		if holder == nil || !isHolderOf(holder, f) {
-			holder = &controlv1.FlowHolder{Agent: f.Agent, ServiceKey: uint64(f.Service), ServerRun: f.ServerRun}
-			ledger.Holders = append(ledger.Holders, holder)
-			size += len(f.Agent) + holderBytes
-		}
-		if size += ledgerFlowBytes; size > maxLedgerBytes {
-			break
-		}
-		holder.Flows = f.Key.Append(holder.Flows)
-		holder.Flows = binary.BigEndian.AppendUint32(holder.Flows, f.Acknowledged)
-	}
-	return proto.Marshal(ledger)
-}
-
-func isHolderOf(h *controlv1.FlowHolder, f fabric.RememberedFlow) bool {
-	return h.GetAgent() == f.Agent && h.GetServiceKey() == uint64(f.Service) && h.GetServerRun() == f.ServerRun
-}
-
-func decodeLedger(b []byte) ([]fabric.RememberedFlow, error) {
-	var ledger controlv1.FlowLedger
-	if err := proto.Unmarshal(b, &ledger); err != nil {
-		return nil, err
-	}
-	var flows []fabric.RememberedFlow
-	for _, h := range ledger.GetHolders() {
-		for b := h.GetFlows(); len(b) >= ledgerFlowBytes; b = b[ledgerFlowBytes:] {
-			key, ok := ipv4.DecodeFlowKey(b[:ipv4.FlowKeyBytes])
-			if !ok {
-				continue
-			}
-			flows = append(flows, fabric.RememberedFlow{
-				Key: key, Agent: h.GetAgent(), Service: capsule.ServiceKey(h.GetServiceKey()), ServerRun: h.GetServerRun(),
-				Acknowledged: binary.BigEndian.Uint32(b[ipv4.FlowKeyBytes:]),
-			})
-		}
-	}
-	return flows, nil
-}
--- a/arbutus-balancer/store/watcher.go
+++ b/arbutus-balancer/store/watcher.go
@@ -8,8 +8,8 @@
 //	done := w.Run(ctx)
 //	collected := store.NewCollector(client, node, self, logger).Run(ctx)
 //
-// Only a few balancers of each failure domain watch the head, elected by rendezvous
-// hashing among the known ones. The others learn of new revisions from their peers.
+// Only a few balancers watch the head, elected by rendezvous hashing among the known ones. The
+// others learn of new revisions from their peers.
 package store
 
 import (
@@ -33,6 +33,18 @@
 const (
 	// watchersPerDomain bounds the load on the store regardless of the fleet's size.
 	watchersPerDomain = 2
+	// freshWatchers is how many balancers watch a store whose watches are short. They are in
+	// different failure domains, so that the loss or a partition of one leaves others. Each
+	// watch counts as a call, so there are no more, however large the fleet is.
+	freshWatchers = 3
+	// staleStagger delays the first watch of a balancer with a stale confirmation, for each
+	// balancer that ranks before it, up to maxStaleStagger. The confirmation that one of them
+	// gets soon reaches the others.
+	staleStagger    = 10 * time.Millisecond
+	maxStaleStagger = time.Second
+	// firstReadPause is how long a balancer that has just read its first revision waits before
+	// it watches. By then it knows its peers, and mostly is not elected.
+	firstReadPause = time.Second
 
 	watcherElection  = "watch head"
 	electionInterval = time.Second
@@ -79,8 +91,10 @@
 		// staleBound is the age of the last confirmation from which a balancer that is
 		// not elected watches too; 0 for never.
 		staleBound time.Duration
-		// watchers is how many balancers of each failure domain are elected.
-		watchers int
+		// watchers is how many balancers of each failure domain are elected, or of the whole
+		// fleet if acrossFleet is set.
+		watchers    int
+		acrossFleet bool
 		// electsAll makes all balancers watch.
 		electsAll bool
 		// eraGauge is the store's era, writtenBack counts the heads written back.
@@ -101,9 +115,11 @@
 // WithFreshness bounds the time since the store last confirmed the revision in force.
 // Each watch waits at most the given time for a change. A balancer that is not elected
 // watches too if neither it nor its peers have a confirmation younger than the bound. Only
-// one balancer of each failure domain is elected.
+// freshWatchers balancers of the fleet are elected.
 func WithFreshness(wait, bound time.Duration) Option {
-	return func(w *Watcher) { w.wait, w.staleBound, w.watchers = wait, bound, 1 }
+	return func(w *Watcher) {
+		w.wait, w.staleBound, w.watchers, w.acrossFleet = wait, bound, freshWatchers, true
+	}
 }
 
 // WithoutElection makes all balancers watch the store.
@@ -175,7 +191,11 @@
 			_ = level.Warn(w.log).Log("event", "store_unreachable", "failures", failures, "retry_in", pause, "err", err)
 			continue
 		}
-		version, failures, pause = next, 0, 0
+		pause = 0
+		if version == 0 && next != 0 && w.acrossFleet {
+			pause = firstReadPause
+		}
+		version, failures = next, 0
 	}
 }
 
@@ -193,11 +213,20 @@
 // mustWatch reports whether this balancer is to watch the store now: it is elected, or
 // its last confirmation is stale.
 func (w *Watcher) mustWatch() bool {
-	if w.electsAll || w.node.Table.Snapshot().Elected(w.self, watcherElection, w.watchers) {
+	s := w.node.Table.Snapshot()
+	if w.electsAll || w.isElected(s) {
 		return true
 	}
 	age, known := w.node.Config.Age(time.Now())
-	return w.staleBound > 0 && (!known || age > w.staleBound)
+	stagger := min(time.Duration(s.Rank(w.self, watcherElection))*staleStagger, maxStaleStagger)
+	return w.staleBound > 0 && (!known || age > w.staleBound+stagger)
+}
+
+func (w *Watcher) isElected(s *member.Snapshot) bool {
+	if w.acrossFleet {
+		return s.ElectedAcross(w.self, watcherElection, w.watchers)
+	}
+	return s.Elected(w.self, watcherElection, w.watchers)
 }
 
 // electionPause returns how often a balancer that does not watch checks whether it has to.
--- a/common/coordination/member/monitor.go
+++ b/common/coordination/member/monitor.go
@@ -123,6 +123,41 @@
 	return s.active
 }
 
+// ElectedAcross reports whether the member is among the n balancers of the deployment that
+// perform the named task. They are the highest-ranking ones of n failure domains, or of all if
+// there are fewer.
+func (s *Snapshot) ElectedAcross(m Member, task string, n int) bool {
+	seed := xxh3.HashString(task)
+	best := make(map[string]uint64)
+	for _, b := range s.activeBalancers() {
+		best[b.Domain] = max(best[b.Domain], xxh3.HashStringSeed(b.Name, seed))
+	}
+	own := xxh3.HashStringSeed(m.Name, seed)
+	ahead := 0
+	for domain, score := range best {
+		if score > own {
+			ahead++
+		}
+		if domain == m.Domain && score > own {
+			return false
+		}
+	}
+	return ahead < n
+}
+
+// Rank returns the number of active balancers that rank before the member for the named task.
+func (s *Snapshot) Rank(m Member, task string) int {
+	seed := xxh3.HashString(task)
+	own := xxh3.HashStringSeed(m.Name, seed)
+	ahead := 0
+	for _, b := range s.activeBalancers() {
+		if xxh3.HashStringSeed(b.Name, seed) > own {
+			ahead++
+		}
+	}
+	return ahead
+}
+
 // Elected reports whether the member is among the n balancers of its failure domain that
 // perform the named task. They are chosen by rendezvous hashing of the task's name.
 func (s *Snapshot) Elected(m Member, task string, n int) bool {
--- a/common/coordination/member/table.go
+++ b/common/coordination/member/table.go
@@ -152,6 +152,17 @@
 	return s
 }
 
+// Find returns the record of one incarnation, and whether the snapshot contains it.
+func (s *Snapshot) Find(id ID) (Member, bool) {
+	i, ok := slices.BinarySearchFunc(s.Members, id, func(m Member, id ID) int {
+		return cmp.Or(cmp.Compare(m.Name, id.Name), cmp.Compare(m.Instance, id.Instance))
+	})
+	if !ok {
+		return Member{}, false
+	}
+	return s.Members[i], true
+}
+
 // Select returns the members for which keep returns true, in the snapshot's order.
 func (s *Snapshot) Select(keep func(Member) bool) []Member {
 	var out []Member
--- a/common/coordination/peer/peer.go
+++ b/common/coordination/peer/peer.go
@@ -110,6 +110,18 @@
 	return response.Msg.GetRevision(), nil
 }
 
+// Ledger returns the encoded ledger of the balancer, of at most maxBytes.
+func (c *Client) Ledger(ctx context.Context, at netip.AddrPort, maxBytes int) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	request := connect.NewRequest(&controlv1.GetLedgerRequest{MaxBytes: uint32(maxBytes)})
+	response, err := c.peer(at).GetLedger(ctx, request)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return response.Msg.GetLedger(), nil
+}
+
 // Status returns the state of all members. The balancer merges its own observations with
 // those that it requests from the other balancers.
 func (c *Client) Status(ctx context.Context, at netip.AddrPort) (*controlv1.StatusResponse, error) {
--- a/common/coordination/store/store.go
+++ b/common/coordination/store/store.go
@@ -18,6 +18,7 @@
 	"errors"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"time"
 
@@ -39,8 +40,9 @@
 	PrefixChunk = "arbutus/chunk/"
 	// PrefixBalancers is followed by the packet address of a registered balancer.
 	PrefixBalancers = "arbutus/balancers/"
-	// PrefixLedgers is followed by the name of a balancer. The key contains the
-	// balancer's ledger: the part of its flow table that its next incarnation restores.
+	// PrefixLedgers is followed by a failure domain and the number of a group of its
+	// balancers. The key contains the ledgers of that group: for each balancer the part of its
+	// flow table that its next incarnation restores.
 	PrefixLedgers = "arbutus/flows/"
 )
 
@@ -50,8 +52,11 @@
 // ChunkKey returns the key of the chunk with the given digest.
 func ChunkKey(digest []byte) string { return PrefixChunk + hex.EncodeToString(digest) }
 
-// LedgerKey returns the key of the named balancer's ledger.
-func LedgerKey(balancer string) string { return PrefixLedgers + balancer }
+// DomainLedgers returns the prefix of the keys with the ledgers of the failure domain's balancers.
+func DomainLedgers(domain string) string { return PrefixLedgers + domain + "/" }
+
+// LedgerKey returns the key with the ledgers of a group of the failure domain's balancers.
+func LedgerKey(domain string, group int) string { return DomainLedgers(domain) + strconv.Itoa(group) }
 
 // RegistrationKey returns the key under which the balancer with the given packet address is
 // registered.
@@ -60,7 +65,7 @@
 // Registered returns the packet addresses of the registered balancers, and the keys that contain
 // none, which someone else must have written.
 func Registered(ctx context.Context, c *Client) (addresses []netip.AddrPort, odd []string, err error) {
-	entries, err := c.List(ctx, PrefixBalancers)
+	entries, err := c.ListStale(ctx, PrefixBalancers)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -108,8 +113,10 @@
 
 	// Client contains the calls of the store. Tests replace single calls.
 	Client struct {
-		Get            func(ctx context.Context, key string) (Entry, error)
-		List           func(ctx context.Context, prefix string) ([]Entry, error)
+		Get  func(ctx context.Context, key string) (Entry, error)
+		List func(ctx context.Context, prefix string) ([]Entry, error)
+		// ListStale is like List, but the entries may be some seconds old.
+		ListStale      func(ctx context.Context, prefix string) ([]Entry, error)
 		CompareAndSwap func(ctx context.Context, w Write) (Swap, error)
 		// Watch blocks until the key has a version higher than after, or until wait
 		// has passed. In the latter case the returned version is not higher.
@@ -128,20 +135,22 @@
 func Connect(client *http.Client, url string) *Client {
 	rpc := storev1connect.NewStoreServiceClient(client, url)
 	eras := NewEras()
+	list := func(ctx context.Context, prefix string) ([]Entry, error) {
+		out, err := call(ctx, eras, callTimeout, rpc.List, &storev1.ListRequest{Prefix: prefix})
+		entries := make([]Entry, 0, len(out.GetEntries()))
+		for _, e := range out.GetEntries() {
+			entries = append(entries, decode(e.GetKey(), e))
+		}
+		return entries, err
+	}
 	return &Client{
-		Eras: eras,
+		Eras:      eras,
+		List:      list,
+		ListStale: list,
 		Get: func(ctx context.Context, key string) (Entry, error) {
 			out, err := call(ctx, eras, callTimeout, rpc.Get, &storev1.GetRequest{Key: key})
 			return decode(key, out.GetEntry()), err
 		},
-		List: func(ctx context.Context, prefix string) ([]Entry, error) {
-			out, err := call(ctx, eras, callTimeout, rpc.List, &storev1.ListRequest{Prefix: prefix})
-			entries := make([]Entry, 0, len(out.GetEntries()))
-			for _, e := range out.GetEntries() {
-				entries = append(entries, decode(e.GetKey(), e))
-			}
-			return entries, err
-		},
 		CompareAndSwap: func(ctx context.Context, w Write) (Swap, error) {
 			out, err := call(ctx, eras, callTimeout, rpc.CompareAndSwap, &storev1.CompareAndSwapRequest{
 				Key:             w.Key,
--- a/common/protocol/gen/arbutus/control/v1/controlv1connect/control.connect.go
+++ b/common/protocol/gen/arbutus/control/v1/controlv1connect/control.connect.go
@@ -49,6 +49,8 @@
 	PeerServiceGetViewProcedure = "/arbutus.control.v1.PeerService/GetView"
 	// PeerServiceStatusProcedure is the fully-qualified name of the PeerService's Status RPC.
 	PeerServiceStatusProcedure = "/arbutus.control.v1.PeerService/Status"
+	// PeerServiceGetLedgerProcedure is the fully-qualified name of the PeerService's GetLedger RPC.
+	PeerServiceGetLedgerProcedure = "/arbutus.control.v1.PeerService/GetLedger"
 	// DumpServiceDumpProcedure is the fully-qualified name of the DumpService's Dump RPC.
 	DumpServiceDumpProcedure = "/arbutus.control.v1.DumpService/Dump"
 )
@@ -61,6 +63,7 @@
 	SyncMembers(context.Context, *connect.Request[v1.SyncMembersRequest]) (*connect.Response[v1.SyncMembersResponse], error)
 	GetView(context.Context, *connect.Request[v1.GetViewRequest]) (*connect.Response[v1.GetViewResponse], error)
 	Status(context.Context, *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error)
+	GetLedger(context.Context, *connect.Request[v1.GetLedgerRequest]) (*connect.Response[v1.GetLedgerResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the arbutus.control.v1.PeerService service. By
@@ -110,6 +113,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Status")),
 			connect.WithClientOptions(opts...),
 		),
+		getLedger: connect.NewClient[v1.GetLedgerRequest, v1.GetLedgerResponse](
+			httpClient,
+			baseURL+PeerServiceGetLedgerProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("GetLedger")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -121,6 +130,7 @@
 	syncMembers *connect.Client[v1.SyncMembersRequest, v1.SyncMembersResponse]
 	getView     *connect.Client[v1.GetViewRequest, v1.GetViewResponse]
 	status      *connect.Client[v1.StatusRequest, v1.StatusResponse]
+	getLedger   *connect.Client[v1.GetLedgerRequest, v1.GetLedgerResponse]
 }
 
 // GetHead calls arbutus.control.v1.PeerService.GetHead.
@@ -153,6 +163,11 @@
 	return c.status.CallUnary(ctx, req)
 }
 
+// GetLedger calls arbutus.control.v1.PeerService.GetLedger.
+func (c *peerServiceClient) GetLedger(ctx context.Context, req *connect.Request[v1.GetLedgerRequest]) (*connect.Response[v1.GetLedgerResponse], error) {
+	return c.getLedger.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the arbutus.control.v1.PeerService service.
 type PeerServiceHandler interface {
 	GetHead(context.Context, *connect.Request[v1.GetHeadRequest]) (*connect.Response[v1.GetHeadResponse], error)
@@ -161,6 +176,7 @@
 	SyncMembers(context.Context, *connect.Request[v1.SyncMembersRequest]) (*connect.Response[v1.SyncMembersResponse], error)
 	GetView(context.Context, *connect.Request[v1.GetViewRequest]) (*connect.Response[v1.GetViewResponse], error)
 	Status(context.Context, *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error)
+	GetLedger(context.Context, *connect.Request[v1.GetLedgerRequest]) (*connect.Response[v1.GetLedgerResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -206,6 +222,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Status")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceGetLedgerHandler := connect.NewUnaryHandler(
+		PeerServiceGetLedgerProcedure,
+		svc.GetLedger,
+		connect.WithSchema(peerServiceMethods.ByName("GetLedger")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/arbutus.control.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceGetHeadProcedure:
@@ -220,6 +242,8 @@
 			peerServiceGetViewHandler.ServeHTTP(w, r)
 		case PeerServiceStatusProcedure:
 			peerServiceStatusHandler.ServeHTTP(w, r)
+		case PeerServiceGetLedgerProcedure:
+			peerServiceGetLedgerHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -253,6 +277,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("arbutus.control.v1.PeerService.Status is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) GetLedger(context.Context, *connect.Request[v1.GetLedgerRequest]) (*connect.Response[v1.GetLedgerResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("arbutus.control.v1.PeerService.GetLedger is not implemented"))
+}
+
 // DumpServiceClient is a client for the arbutus.control.v1.DumpService service.
 type DumpServiceClient interface {
 	Dump(context.Context, *connect.Request[v1.DumpRequest]) (*connect.Response[v1.DumpResponse], error)
