Report odd operators' files instead of ending, and show added empty values

Cause: a directory whose files define no failure domain and no deployment ended arbutusctl with an index out of range; an added field with an empty value was missing from diffs. Measurement: TestOddDirectories panicked before, TestDiffShowsAddedEmptyString guards the other.

--- a/common/coordination/config/check.go
+++ b/common/coordination/config/check.go
@@ -24,6 +24,8 @@
 	maxDrainSeconds   = 7 * 24 * 60 * 60
 	maxWeight         = 1_000_000
 	maxFlowIdleMillis = 24 * 60 * 60 * 1000
+
+	nameRemedy = "use 1 to 63 lower-case letters, digits and inner hyphens"
 )
 
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
@@ -46,8 +48,7 @@
 
 func (l *loader) checkDeployment() {
 	if len(l.deployments) == 0 {
-		at := located{source: source{file: "deployment", locate: func(string) int { return 0 }}}
-		l.report(at, "", "no file defines the deployment", `add {"deployment": {"name": ...}} to one file`)
+		l.report(missing("deployment"), "", "no file defines the deployment", `add {"deployment": {"name": ...}} to one file`)
 		return
 	}
 	for _, extra := range l.deployments[1:] {
@@ -77,19 +78,26 @@
 	})
 }
 
+// missing returns the location of a part that no file contains.
+func missing(part string) located {
+	return located{source: source{file: part, locate: func(string) int { return 0 }}}
+}
+
 func (l *loader) checkDomains() {
 	seen := make(map[string]string)
 	for i, d := range l.config.Domains {
 		at := l.domains[i]
 		l.checkName(at, d.Name)
 		l.checkUnique(at, "failure domain", d.Name, seen, "remove one")
+		if d.Region != "" && !namePattern.MatchString(d.Region) {
+			l.report(at, "region", fmt.Sprintf("%q is not a valid name", d.Region), nameRemedy)
+		}
 		if d.State != DomainIn && d.State != DomainOut {
 			l.report(at, "state", fmt.Sprintf("unknown state %q", d.State), `use "in" or "out"`)
 		}
 	}
 	if len(l.config.Domains) == 0 {
-		at := located{l.deployments[0], ""}
-		l.report(at, "", "no failure domain is defined", "define at least one under \"domains\"")
+		l.report(missing("domains"), "", "no failure domain is defined", "define at least one under \"domains\"")
 	}
 }
 
@@ -172,8 +180,7 @@
 
 func (l *loader) checkName(at located, name string) {
 	if !namePattern.MatchString(name) {
-		l.report(at, "name", fmt.Sprintf("%q is not a valid name", name),
-			"use 1 to 63 lower-case letters, digits and inner hyphens")
+		l.report(at, "name", fmt.Sprintf("%q is not a valid name", name), nameRemedy)
 	}
 }
 
--- a/common/coordination/config/diff.go
+++ b/common/coordination/config/diff.go
@@ -31,7 +31,7 @@
 	}
 	var changes []Change
 	for path, value := range after {
-		if before[path] != value {
+		if former, ok := before[path]; !ok || former != value {
 			changes = append(changes, Change{Path: path, From: before[path], To: value})
 		}
 	}
