--- a/arbutus-balancer/fabric/forwarder.go
+++ b/arbutus-balancer/fabric/forwarder.go
@@ -74,6 +74,7 @@
 		forwarded     tally.Counter
 		refused       tally.Counter
 		forwardedLate tally.Counter
+		discardedLate tally.Counter
 		// pending buffers packets that can't be forwarded yet; nil without WithPendingPackets.
 		pending *pendingPackets
 		// drops counts the dropped packets by reason.
@@ -166,6 +167,7 @@
 		forwarded:     scope.Counter("packets_forwarded"),
 		refused:       scope.Counter("flows_refused"),
 		forwardedLate: scope.Counter("packets_forwarded_after_waiting"),
+		discardedLate: scope.Counter("packets_dropped_after_waiting"),
 		drops:         make(map[ipv4.Reason]tally.Counter),
 	}
 	for _, opt := range opts {
--- a/arbutus-balancer/fabric/pending.go
+++ b/arbutus-balancer/fabric/pending.go
@@ -49,14 +49,16 @@
 	return true
 }
 
-// take removes all packets, and returns those that are not older than pendingTime.
-func (p *pendingPackets) take() []pendingPacket {
+// take removes all packets. It returns those that are not older than pendingTime, and the number
+// of the others.
+func (p *pendingPackets) take() (current []pendingPacket, expired int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	taken := p.packets
-	p.packets = nil
+	taken := len(p.packets)
 	now := p.now()
-	return slices.DeleteFunc(taken, func(k pendingPacket) bool { return now.Sub(k.arrivedAt) > pendingTime })
+	current = slices.DeleteFunc(p.packets, func(k pendingPacket) bool { return now.Sub(k.arrivedAt) > pendingTime })
+	p.packets = nil
+	return current, taken - len(current)
 }
 
 // putBack buffers packets again that can't be forwarded yet, before those that arrived
@@ -88,18 +90,22 @@
 }
 
 // forwardPending forwards the buffered packets whose destination is known by now. It
-// retains those that may still become forwardable, and discards the others without
-// counting them as dropped.
+// retains those that may still become forwardable, and discards the others.
 func (f *Forwarder) forwardPending() {
-	packets := f.pending.take()
+	packets, discarded := f.pending.take()
+	defer func() { f.discardedLate.Inc(int64(discarded)) }()
 	if len(packets) == 0 {
 		return
 	}
 	out := datagram.NewBatch(1)
 	packets = slices.DeleteFunc(packets, func(p pendingPacket) bool {
 		b, to, err := f.encapsulate(out[0].Buffer[:0], p.bytes)
+		if err != nil && f.mayBecomeForwardable(ipv4.ReasonOf(err)) {
+			return false
+		}
 		if err != nil {
-			return !f.mayBecomeForwardable(ipv4.ReasonOf(err))
+			discarded++
+			return true
 		}
 		f.forwardedLate.Inc(f.send(b, to))
 		return true
--- a/arbutus-balancer/fabric/pending_test.go
+++ b/arbutus-balancer/fabric/pending_test.go
@@ -27,6 +27,11 @@
 	return d
 }
 
+// countingCounter is a counter that a test reads.
+type countingCounter struct{ value int64 }
+
+func (c *countingCounter) Inc(n int64) { c.value += n }
+
 // receive passes a packet to the balancer as the fabric does.
 func (d *testBalancer) receive(b []byte) {
 	in := []datagram.Message{{Buffer: b, N: len(b)}}
@@ -60,6 +65,8 @@
 // the configuration has no route for them.
 func TestPendingPacketsAreBounded(t *testing.T) {
 	g, d := NewWithT(t), newWithoutAgents(t)
+	discarded := new(countingCounter)
+	d.forwarder.discardedLate = discarded
 	d.receive(packetOf(1, splitEndpoint, ipv4.FlagSYN, synSequence))
 	d.now = d.now.Add(pendingTime + time.Millisecond)
 	for i := range maxPending + 10 {
@@ -68,6 +75,7 @@
 	g.Expect(d.forwarder.pending.packets).To(HaveLen(maxPending))
 	d.forwarder.forwardPending()
 	g.Expect(d.forwarder.pending.packets).To(HaveLen(maxPending - 1))
+	g.Expect(discarded.value).To(Equal(int64(1)))
 
 	g, d = NewWithT(t), newWithoutAgents(t)
 	d.receive(packetOf(1, netip.AddrPortFrom(splitEndpoint.Addr(), 999), ipv4.FlagSYN, synSequence))
--- a/arbutus-balancer/serve/dump.go
+++ b/arbutus-balancer/serve/dump.go
@@ -12,7 +12,7 @@
 
 type (
 	// dump is a balancer's state as served to operators on request. Ready and Reason
-	// say whether the balancer can forward, as reported by notServing. StoreEra is the
+	// say whether the balancer is ready, as the readiness probe does. StoreEra is the
 	// store's era as of its last response to this balancer, 0 if there was none.
 	dump struct {
 		Self     member.Member     `json:"self"`
@@ -37,8 +37,9 @@
 	}
 )
 
-func dumpOf(n *state.Node, a *heartbeat.Announcer, eras *kvstore.Eras, m Mode) dump {
-	reason := notServing(n, a, m)
+// dumpOf returns the state of the balancer, which is not ready for the given reason, or ready if
+// that is empty.
+func dumpOf(n *state.Node, a *heartbeat.Announcer, eras *kvstore.Eras, reason string) dump {
 	d := dump{
 		Self: a.Self(), Ready: reason == "", Reason: reason, StoreEra: eras.Current(), Routes: n.Routes().Dump(),
 	}
