--- a/arbutus-lab/soak/inject.go
+++ b/arbutus-lab/soak/inject.go
@@ -48,8 +48,8 @@
 		return h.injectStoreFaults(ctx, e, faults)
 	}
 	switch e.Kind {
-	case StoreRestored:
-		return h.restoreStore(ctx, e)
+	case StoreRestored, OddStoreEntries, OddAnnouncement:
+		return h.applyFromOutside(ctx, e)
 	case KillBalancer, KillAgent:
 		return h.killFor(ctx, e.For, e.Target)
 	case KillAll:
@@ -74,6 +74,18 @@
 	return nil
 }
 
+// applyFromOutside applies an event that others than the processes of the deployment cause.
+func (h *harness) applyFromOutside(ctx context.Context, e Event) error {
+	switch e.Kind {
+	case StoreRestored:
+		return h.restoreStore(ctx, e)
+	case OddStoreEntries:
+		return h.writeOddly(ctx, e)
+	default:
+		return h.announceOddly(ctx, e)
+	}
+}
+
 // processNames returns the names of all balancers and agents.
 func (h *harness) processNames() []string {
 	return append(append([]string{}, h.targets.balancers...), h.targets.servers...)
--- a/arbutus-lab/soak/plan.go
+++ b/arbutus-lab/soak/plan.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -27,6 +28,8 @@
 	DegradePackets    Kind = "harm_packets"
 	DrainServer       Kind = "drain_server"
 	DomainOut         Kind = "domain_out"
+	OddAnnouncement   Kind = "odd_announcement"
+	OddStoreEntries   Kind = "odd_store_entries"
 )
 
 const (
@@ -133,6 +136,11 @@
 		kind: StoreRestored, targets: storeOf, variants: []string{"1s", "4s", "12s"},
 		minDuration: writeBackBound + 200*time.Millisecond, maxDuration: writeBackBound + 4*time.Second, weight: 3,
 	},
+	{
+		kind: OddAnnouncement, targets: serversOf, variants: slices.Sorted(maps.Keys(oddAnnouncements)),
+		minDuration: 100 * time.Millisecond, maxDuration: time.Second, onlyPassThrough: true, weight: 2,
+	},
+	{kind: OddStoreEntries, targets: storeOf, minDuration: time.Second, maxDuration: 5 * time.Second, weight: 1},
 }
 
 // parseKinds parses a comma-separated list of kinds. An empty list returns nil, which
