--- a/review/standin/backend.go
+++ b/review/standin/backend.go
@@ -275,3 +275,36 @@
 		delay = min(2*delay, lastRetransmit)
 	}
 }
+
+// Drain makes the backend announce that it is draining, and returns when that was acknowledged.
+func (b *backend) Drain() (time.Time, error) {
+	b.mu.Lock()
+	b.draining = true
+	b.mu.Unlock()
+	if !b.beat() {
+		return time.Time{}, fmt.Errorf("the draining of backend %s is not acknowledged", b.id)
+	}
+	return time.Now(), nil
+}
+
+// writeForeign sends a heartbeat of another writer to the agent beside the backend. It names the
+// backend and lacks the zone.
+func (b *backend) writeForeign() {
+	b.mu.Lock()
+	body, _ := json.Marshal(map[string]any{
+		"service": b.service, "address": b.app.String(), "version": "v1", "slots": 4, "state": "ready",
+		"cold-remaining-ms": 0, "sequence": b.sequence + 1, "born": b.started.UnixMilli(),
+	})
+	b.mu.Unlock()
+	r, err := http.NewRequest(http.MethodPut, "http://"+b.control.String()+"/api/instances/"+b.id, bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		b.lab.record("foreign heartbeat fails: %v", err)
+		return
+	}
+	_ = response.Body.Close()
+	b.lab.record("foreign heartbeat %s: status %d", body, response.StatusCode)
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -53,7 +53,7 @@
 )
 
 func main() {
-	scenarios := map[string]func(*deployment) error{"version": playVersion, "young": playYoung}
+	scenarios := map[string]func(*deployment) error{"version": playVersion, "young": playYoung, "foreign": playForeign}
 	if len(os.Args) != 3 || scenarios[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin SCENARIO RECORD")
 		os.Exit(2)
--- a/review/standin/scenarios.go
+++ b/review/standin/scenarios.go
@@ -94,3 +94,32 @@
 	}
 	return nil
 }
+
+// playForeign drains a backend. With trouble, another writer sends one heartbeat to the agent
+// beside it more than drain-timeout-ms after the acknowledgment. It lacks a field, so it must not
+// be used. No flow may reach the backend then.
+func playForeign(d *deployment) error {
+	time.Sleep(4 * time.Second)
+	b := d.backends[0]
+	acknowledged, err := b.Drain()
+	if err != nil {
+		return err
+	}
+	// The settings state 3 s for drain-timeout-ms.
+	time.Sleep(4 * time.Second)
+	if d.trouble {
+		b.writeForeign()
+	}
+	for i := range 60 {
+		f, o := d.clients[i%len(d.clients)].Open(d.route(1))
+		if o == answered {
+			f.Request(fmt.Sprintf("late-%d", i), deadline)
+		}
+		if at, open := b.IsOpen(f.key); open && at.Sub(acknowledged) > 3*time.Second {
+			d.violation("DRAIN", "flow %s -> %s reaches backend %s %.1f s after its draining was acknowledged",
+				f.key.client, f.key.route, b.id, at.Sub(acknowledged).Seconds())
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return nil
+}
