--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -215,6 +215,7 @@
 		if !bytes.Contains(answer, []byte("done "+id+" ")) {
 			f.client.lab.violation("MIXED", "request %s gets %q", id, answer)
 		}
+		f.client.lab.record("request %s is answered", id)
 		return answered, true
 	}
 	if !f.reset.IsZero() {
--- a/review/standin/lab.go
+++ b/review/standin/lab.go
@@ -32,7 +32,7 @@
 const (
 	probeInterval = 500 * time.Millisecond
 	// restartDelay is how long the platform waits before it restarts a process that has ended.
-	restartDelay = 500 * time.Millisecond
+	restartDelay = 300 * time.Millisecond
 )
 
 var zones = []string{"north", "middle", "south"}
--- a/review/standin/scenarios.go
+++ b/review/standin/scenarios.go
@@ -49,9 +49,9 @@
 	return nil
 }
 
-// playYoung adds a side machine. With trouble, the process on it is killed 0.35 s after the first
-// heartbeat of its backend. Flows that the backend took before must still be open when they are
-// used again, more than stability-window-ms later.
+// playYoung adds a side machine. With trouble, the process on it is killed once its backend has
+// taken a few flows, 0.6 s after the backend's first heartbeat at the latest. These flows must still
+// be open when they are used again, more than stability-window-ms later.
 func playYoung(d *deployment) error {
 	time.Sleep(4 * time.Second)
 	m := d.machineIn(0, 21, desk)
@@ -66,16 +66,18 @@
 	}
 	time.Sleep(100 * time.Millisecond)
 	var flows []*flow
-	for i := range 30 {
+	const (
+		enough    = 3
+		latestEnd = 600 * time.Millisecond
+	)
+	for i := 0; len(flows) < enough && time.Since(b.started) < latestEnd; i++ {
 		f, o := d.clients[0].Open(d.route(1))
 		if o == answered && f.Request(fmt.Sprintf("first-%d", i), deadline) == answered {
 			if _, open := b.IsOpen(f.key); open {
 				flows = append(flows, f)
 			}
 		}
-		if time.Since(b.started) > 350*time.Millisecond {
-			break
-		}
+		time.Sleep(5 * time.Millisecond)
 	}
 	d.record("%d flows are open at %s", len(flows), b.id)
 	if len(flows) == 0 {
