Keep the flows of a young backend server when its agent restarts

What callers saw: the agent beside a backend server was killed within the backend server's first second. Cause: an agent took a first announcement with a low sequence number, or a start shortly before its own, as proof that the backend server had started after it. It then neither delivered packets of flows that its earlier incarnation had admitted, nor marked them as uncertain. Both numbers show only that the backend server is young; its agent may be younger. On related paths, a liveness probe that timed out and two seconds of silence counted as proof as well. Change: only a refused connection since the agent's start shows that a run which announces itself later started after the agent. In all other cases the agent delivers unknown packets, and the backend server returns what it does not hold. So that not more packets reach wrong backend servers, none of a flow is delivered that the directory lists as another agent's. Two cases of TestServerPredatesAgent, "first announcement" and "started with the machine", had stated the wrong inference; they remain, with a refused probe before the announcement, and without one the opposite is expected.

--- a/arbutus-agent/passthrough/announcements.go
+++ b/arbutus-agent/passthrough/announcements.go
@@ -9,19 +9,9 @@
 
 const (
 	// maxFirstSequence is the highest sequence number that the first announcement received
-	// from a run of a backend server may have for the run to count as started after the
-	// agent.
-	maxFirstSequence = 2
-	// maxBootSequence is the highest sequence number that the first announcement received
-	// from a run may have for the run to count as started together with the agent, at the
-	// boot of their machine: a backend server repeats its announcement at once while no
-	// agent accepts it. Comparing the two start times alone would not suffice, as the clock
-	// may jump.
-	maxBootSequence = 6
-	// minRestartDelay is less than the time between the end of an agent and the start of
-	// its new incarnation. No earlier incarnation can have delivered flows to a backend
-	// server that started at most this long before the agent.
-	minRestartDelay = 400 * time.Millisecond
+	// from a run may have for the run to count as started after the agent. A backend server
+	// repeats its announcement at once while no agent accepts it.
+	maxFirstSequence = 6
 
 	// MaxSlots bounds the slots that a backend server may announce. Products with more
 	// overflow.
@@ -133,7 +123,7 @@
 	}
 	s.ignored = ignoredRun{}
 	if !s.known || !a.isSameRun(s.announced) {
-		s.predates = a.Sequence > maxFirstSequence && !s.startedWithAgent(a)
+		s.predates = s.mayPredate(a)
 		s.logChange("server_started", a)
 	} else if a.Draining != s.announced.Draining || s.withdrawn || s.dead || rejection != "" {
 		s.logChange("server_changed", a)
@@ -162,10 +152,12 @@
 	}
 }
 
-// startedWithAgent reports whether the backend server started with the agent, rather than
-// before it.
-func (s *Server) startedWithAgent(a Announcement) bool {
-	return a.Sequence <= maxBootSequence && a.StartedUnixMillis >= s.agentStartedAt.Add(-minRestartDelay).UnixMilli()
+// mayPredate reports whether a run of the backend server may have started before the agent, and
+// so may hold flows that an earlier incarnation of the agent delivered. Neither a low sequence
+// number nor a recent start rules that out: an agent may be restarted within the backend
+// server's first second, and the clock may jump. s.mu must be held.
+func (s *Server) mayPredate(a Announcement) bool {
+	return !s.foundAbsent || a.Sequence > maxFirstSequence
 }
 
 // isStale reports whether the announcement is from an earlier run than the last applied one,
--- a/arbutus-agent/passthrough/engine_test.go
+++ b/arbutus-agent/passthrough/engine_test.go
@@ -161,6 +161,34 @@
 	g.Expect(r.delivered).To(BeEmpty(), "no new flows before the first announcement")
 }
 
+// TestFlowHeldElsewhereIsNotDelivered guards against packets that wander past backend servers
+// which can't hold their flow: an agent that may not know all flows of its backend server must
+// send them to the holder that the directory lists, unless that is its own earlier incarnation.
+func TestFlowHeldElsewhereIsNotDelivered(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		instance  uint64
+		delivered int
+	}{
+		{"held by another agent", 102, 0},
+		{"held by this agent's earlier incarnation", 99, 1},
+		{"held by an unknown agent", 98, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g, r := NewWithT(t), newHarness(t)
+			earlier := agentMember("a-1", "north", 1)
+			earlier.Instance = 99
+			r.node.Learn(earlier.WithDeath())
+			r.announce(func(a *Announcement) { a.Sequence = 900 })
+			data := segment(1, ipv4.FlagACK, 2000, 6000, 50)
+			r.engine.Register(data.Key, c.instance)
+			r.fromCaller(data, 0)
+			g.Expect(r.delivered).To(HaveLen(c.delivered))
+			g.Expect(r.forwarded).To(HaveLen(1 - c.delivered))
+		})
+	}
+}
+
 // TestUnconfiguredAgentReturnsVisited: an agent without a configuration knows no
 // candidates. It must return the packet with the visited agents, so that the balancer
 // continues the search from there.
@@ -191,7 +219,7 @@
 // balancer that first forwarded it.
 func TestUnclaimedPacketReturnsToOrigin(t *testing.T) {
 	g, r := NewWithT(t), newHarness(t)
-	r.announce(nil)
+	r.start()
 	r.fromCaller(segment(1, ipv4.FlagACK, 2000, 6000, 50), 0, 102, 103)
 	g.Expect(r.forwarded).To(HaveLen(1))
 	g.Expect(r.forwarded[0].kind).To(Equal(capsule.KindUnclaimed))
@@ -253,7 +281,7 @@
 // new incarnation.
 func TestHolderRestarted(t *testing.T) {
 	g, r := NewWithT(t), newHarness(t)
-	r.announce(nil)
+	r.start()
 	data := segment(1, ipv4.FlagACK, 2000, 6000, 50)
 	r.engine.Register(data.Key, 102)
 	r.node.Learn(agentMember("a-2", "south", 2).WithPhase(member.Left))
@@ -293,7 +321,7 @@
 // day scale-1 of avisos-vial-grown).
 func TestForwardingLimitIsMarked(t *testing.T) {
 	g, r := NewWithT(t), newHarness(t)
-	r.announce(nil)
+	r.start()
 	visited := make([]uint64, capsule.MaxVisited-1)
 	for i := range visited {
 		visited[i] = uint64(9000 + i)
@@ -308,7 +336,7 @@
 // already taken flows.
 func TestJoiningAgentsComeLast(t *testing.T) {
 	g, r := NewWithT(t), newHarness(t)
-	r.announce(nil)
+	r.start()
 	for i := range 40 {
 		joining := agentMember("new-"+string(rune('a'+i)), "south", 100+i)
 		joining.Phase = member.Joining
--- a/arbutus-agent/passthrough/harness_test.go
+++ b/arbutus-agent/passthrough/harness_test.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"errors"
+	"fmt"
 	"net/netip"
 	"slices"
+	"syscall"
 	"testing"
 	"time"
 
@@ -25,7 +26,7 @@
 var (
 	balancerAddress = netip.MustParseAddrPort("10.0.0.9:7000")
 	endpoint        = netip.MustParseAddrPort("10.80.0.1:80")
-	errDead         = errors.New("connection refused")
+	errDead         = fmt.Errorf("dial: %w", syscall.ECONNREFUSED)
 )
 
 type (
@@ -127,6 +128,15 @@
 	r.server.Announce(a)
 }
 
+// start makes the backend server start after the agent: a probe finds it absent, and then it
+// announces itself.
+func (r *harness) start() {
+	r.livenessErr = errDead
+	r.server.Discover(context.Background(), "")
+	r.livenessErr = nil
+	r.announce(nil)
+}
+
 func segment(port uint16, flags ipv4.Flags, sequence, acknowledgment uint32, payload int) ipv4.Segment {
 	return ipv4.Segment{
 		Key:   ipv4.FlowKey{Caller: netip.AddrPortFrom(netip.MustParseAddr("192.0.2.1"), port), Service: endpoint},
--- a/arbutus-agent/passthrough/inbound.go
+++ b/arbutus-agent/passthrough/inbound.go
@@ -146,7 +146,7 @@
 			e.notHeldSince[p.Key] = now
 		}
 	}
-	if e.mayHold(p.Key, now) {
+	if e.mayHold(v, p.Key, now) {
 		e.deliverUnconfirmed(h, p, now)
 		return
 	}
@@ -194,11 +194,27 @@
 	}
 }
 
-// mayHold reports whether the backend server may hold a flow that the agent does not know.
-// e.mu must be held.
-func (e *Engine) mayHold(key ipv4.FlowKey, now time.Time) bool {
-	since, ok := e.notHeldSince[key]
-	return e.server.mayHoldUnknownFlows(now) && (!ok || now.Sub(since) > notHeldLifetime)
+// mayHold reports whether the backend server may hold a flow that the agent does not know. It
+// holds none that the directory lists as another agent's. e.mu must be held.
+func (e *Engine) mayHold(v *state.View, key ipv4.FlowKey, now time.Time) bool {
+	if since, ok := e.notHeldSince[key]; ok && now.Sub(since) <= notHeldLifetime {
+		return false
+	}
+	return e.server.mayHoldUnknownFlows(now) && !e.isHeldElsewhere(v, key)
+}
+
+// isHeldElsewhere reports whether the directory lists the flow as held by an agent other than
+// this one and its earlier incarnations. e.mu must be held.
+func (e *Engine) isHeldElsewhere(v *state.View, key ipv4.FlowKey) bool {
+	known, ok := e.directory.Get(key)
+	if !ok {
+		return false
+	}
+	if c, ok := v.Agents.ByInstance(known.Instance); ok {
+		return c.Name != e.self().Name
+	}
+	m, ok := e.node.MemberOf(known.Instance)
+	return ok && m.Name != e.self().Name
 }
 
 // deliverUnconfirmed adds an unknown flow as unconfirmed and delivers its packet to the
--- a/arbutus-agent/passthrough/liveness.go
+++ b/arbutus-agent/passthrough/liveness.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"syscall"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -99,6 +101,7 @@
 	died := err != nil && !s.dead
 	revived := err == nil && s.dead
 	s.dead = err != nil
+	s.recordAbsent(err)
 	s.silentSince, s.unansweredSince = time.Time{}, time.Time{}
 	if died || revived {
 		_ = level.Info(s.log).Log("event", "server_checked", "id", s.announced.ID, "dead", s.dead, "err", err)
@@ -111,7 +114,9 @@
 // next announcement. With an empty path only liveness is probed.
 func (s *Server) Discover(ctx context.Context, path string) {
 	if err := s.probeLiveness(ctx); err != nil {
-		s.recordFoundAbsent(err)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.recordAbsent(err)
 		return
 	}
 	s.recordFoundRunning()
@@ -143,10 +148,11 @@
 	}
 }
 
-func (s *Server) recordFoundAbsent(err error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.foundAbsent {
+// recordAbsent records that no process listens at the backend server's address, if the error of
+// a liveness probe shows that. A probe that fails in another way, such as by a timeout, leaves
+// open whether one does. s.mu must be held.
+func (s *Server) recordAbsent(err error) {
+	if !s.foundAbsent && errors.Is(err, syscall.ECONNREFUSED) {
 		s.foundAbsent = true
 		_ = level.Info(s.log).Log("event", "server_absent", "err", err)
 	}
--- a/arbutus-agent/passthrough/server.go
+++ b/arbutus-agent/passthrough/server.go
@@ -20,8 +20,7 @@
 	// probeTimeout limits a liveness probe. The backend server runs on the same machine.
 	probeTimeout = 200 * time.Millisecond
 	// announcementTimeout is how long a backend server may go without an announcement
-	// before it is probed; announcements come every 1.2 s. One that has sent none this long
-	// after the agent's start is assumed to hold no flows.
+	// before it is probed; announcements come every 1.2 s.
 	announcementTimeout = 2 * time.Second
 	// unknownFlowsPeriod is how long after its start an agent assumes that its backend
 	// server may hold flows that it does not know. Flows are assumed not to be older, or
@@ -51,12 +50,12 @@
 		announcedAt time.Time
 		ignored     ignoredRun
 		// predates is set unless the backend server is known to have started after the
-		// agent.
+		// agent: it was found absent, and has announced itself since.
 		predates  bool
 		withdrawn bool
 		dead      bool
-		// foundAbsent is set once Discover has found no backend server running, and remains
-		// set.
+		// foundAbsent is set once a liveness probe has found that no process listens at the
+		// backend server's address, and remains set.
 		foundAbsent bool
 		// foundRunning is set once Discover has found the backend server running, and remains
 		// set. Both may be set.
@@ -103,7 +102,8 @@
 }
 
 // NewServer returns the record of a backend server that has not announced itself. The
-// function probeLiveness returns an error if the process is not running.
+// function probeLiveness returns an error if the process is not running; it wraps
+// syscall.ECONNREFUSED if no process listens at the backend server's address.
 func NewServer(probeLiveness func(ctx context.Context) error, opts ...ServerOption) *Server {
 	s := &Server{
 		probeLiveness: probeLiveness, log: log.NewNopLogger(), now: time.Now, predates: true, coldUnknown: true,
@@ -212,16 +212,14 @@
 // allFlowsKnown reports whether the backend server is assumed to hold no flow that the agent
 // does not know: it started after the agent, is dead or withdrawn, or the agent has run for
 // more than unknownFlowsPeriod. One that has neither announced itself nor been found ready is
-// assumed to hold none once Discover has found it absent, or announcementTimeout after the
-// agent's start.
+// assumed to hold none once Discover has found it absent.
 func (s *Server) allFlowsKnown(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	age := now.Sub(s.agentStartedAt)
 	if !s.known {
-		return s.foundAbsent || age > announcementTimeout
+		return s.foundAbsent
 	}
-	return s.withdrawn || s.dead || !s.predates || age > unknownFlowsPeriod
+	return s.withdrawn || s.dead || !s.predates || now.Sub(s.agentStartedAt) > unknownFlowsPeriod
 }
 
 // mayHoldUnknownFlows reports whether packets of flows that the agent does not know are to be
--- a/arbutus-agent/passthrough/server_test.go
+++ b/arbutus-agent/passthrough/server_test.go
@@ -1,12 +1,14 @@
 package passthrough
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
 	"arbutusfront.dev/common/coordination/config"
+	"arbutusfront.dev/common/protocol/capsule"
 	"arbutusfront.dev/common/protocol/ipv4"
 )
 
@@ -157,25 +159,79 @@
 }
 
 // TestServerPredatesAgent: an agent must recognize a backend server that was running before
-// it, even if the clock has jumped back.
+// it, even if the clock has jumped back. Only a run that it has not found absent first, or whose
+// announcements have been accepted for long, may predate it.
 func TestServerPredatesAgent(t *testing.T) {
 	for _, c := range []struct {
 		name         string
+		absent       bool
 		startedAfter time.Duration
 		sequence     uint64
 		want         bool
 	}{
-		{"first announcement", -time.Hour, 1, false},
-		{"started with the machine", -100 * time.Millisecond, 4, false},
-		{"ran before", -time.Hour, 900, true},
-		{"ran before, and the clock has jumped back", time.Second, 900, true},
-		{"started just before an agent that was restarted", -time.Second, 4, true},
+		{"first announcement", true, -time.Hour, 1, false},
+		{"started with the machine", true, -100 * time.Millisecond, 4, false},
+		{"ran before", true, -time.Hour, 900, true},
+		{"ran before, and the clock has jumped back", true, time.Second, 900, true},
+		{"started just before an agent that was restarted", false, -time.Second, 4, true},
+		{"first announcement, started before its agent was restarted", false, -300 * time.Millisecond, 1, true},
+		{"second announcement, started before its agent was restarted", false, -520 * time.Millisecond, 2, true},
+		{"started just before an agent that was restarted at once", false, -100 * time.Millisecond, 2, true},
+		{"started just before, and the clock has jumped back", false, time.Second, 2, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g, r := NewWithT(t), newHarness(t)
+			if c.absent {
+				r.livenessErr = errDead
+			}
+			r.server.Discover(context.Background(), "")
 			r.announce(func(a *Announcement) { a.StartedUnixMillis += c.startedAfter.Milliseconds(); a.Sequence = c.sequence })
 			g.Expect(r.server.mayHoldUnknownFlows(r.now)).To(Equal(c.want))
 			g.Expect(r.server.allFlowsKnown(r.now)).To(Equal(!c.want))
 		})
 	}
 }
+
+// TestFlowsOfYoungServerSurviveAgentRestart guards against resets of open flows after the agent
+// beside a backend server was killed within the backend server's first second: the new
+// incarnation took an early announcement as proof that it knows all flows there.
+func TestFlowsOfYoungServerSurviveAgentRestart(t *testing.T) {
+	g, r := NewWithT(t), newHarness(t)
+	r.now = r.now.Add(700 * time.Millisecond)
+	r.announce(func(a *Announcement) { a.StartedUnixMillis -= announceInterval.Milliseconds(); a.Sequence = 2 })
+	held := segment(1, ipv4.FlagACK, 2000, 6000, 50)
+	r.fromCaller(held, capsule.MarkReportHolder)
+	g.Expect(r.delivered).To(HaveLen(1))
+	g.Expect(r.forwarded).To(BeEmpty(), "the flow is not reported as unclaimed")
+	r.fromServer(segment(1, ipv4.FlagACK, 6000, 2050, 100))
+	g.Expect(r.opened).To(HaveLen(1))
+	g.Expect(r.replied).To(HaveLen(1))
+	g.Expect(r.replied[0].Flags().Has(ipv4.FlagRST)).To(BeFalse())
+}
+
+// TestUnansweredProbeIsNoProofOfAbsence guards against resets of open flows while the backend
+// server is too busy to accept the connections of probes: only a refused connection shows that it
+// is absent.
+func TestUnansweredProbeIsNoProofOfAbsence(t *testing.T) {
+	g, r := NewWithT(t), newHarness(t)
+	r.livenessErr = context.DeadlineExceeded
+	r.server.Discover(context.Background(), "")
+	r.now = r.now.Add(2 * announcementTimeout)
+	g.Expect(r.server.allFlowsKnown(r.now)).To(BeFalse())
+	r.fromCaller(segment(1, ipv4.FlagACK, 2000, 6000, 50), capsule.MarkReportHolder)
+	g.Expect(r.forwarded).To(HaveLen(1))
+	g.Expect(r.forwarded[0].h.Marks.Has(capsule.MarkUncertain)).To(BeTrue())
+}
+
+// TestRestartedServerHoldsNoUnknownFlows: a backend server that was found dead and then
+// announces a new run holds no flows of the agent's earlier incarnations.
+func TestRestartedServerHoldsNoUnknownFlows(t *testing.T) {
+	g, r := NewWithT(t), newHarness(t)
+	r.announce(func(a *Announcement) { a.Sequence = 900 })
+	g.Expect(r.server.mayHoldUnknownFlows(r.now)).To(BeTrue())
+	r.server.recordProbe(errDead)
+	r.now = r.now.Add(time.Second)
+	r.announce(func(a *Announcement) { a.ID = "s-2" })
+	g.Expect(r.server.mayHoldUnknownFlows(r.now)).To(BeFalse())
+	g.Expect(r.server.allFlowsKnown(r.now)).To(BeTrue())
+}
--- a/arbutus-lab/patterns/simulation_test.go
+++ b/arbutus-lab/patterns/simulation_test.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -43,7 +43,7 @@
 
 var (
 	endpoint  = netip.MustParseAddrPort("10.80.0.1:80")
-	errClosed = errors.New("connection refused")
+	errClosed = fmt.Errorf("dial: %w", syscall.ECONNREFUSED)
 )
 
 type (
