Order configurations by versions of any size

What callers saw: a configuration with version, a date with a serial number, was never in force. A deployment that begins with such a version served nothing. Cause: a revision was one number of 64 bits, with 28 bits for the operator's version and 36 for the position in the store's history. A version beyond 268,435,455 was refused, and so was a position beyond 68,719,476,735, though the store's revision may start anywhere. Evidence: "configuration_unreadable ... version or change 108 exceeds the largest that can be ordered" at all three balancers, right after each had read the change. Change: config.Order consists of both numbers, each with 64 bits. Heads, views, heartbeats, acknowledgments, gossip and notices carry the version in a field of its own, which is left out in arbutusfront's own store. The header of a packet has only the position, as a hint.

--- a/arbutus-agent/balancer/balancer.go
+++ b/arbutus-agent/balancer/balancer.go
@@ -19,6 +19,7 @@
 	"github.com/go-kit/log/level"
 
 	"arbutusfront.dev/arbutus-agent/state"
+	"arbutusfront.dev/common/coordination/config"
 	"arbutusfront.dev/common/coordination/heartbeat"
 	"arbutusfront.dev/common/coordination/peer"
 	controlv1 "arbutusfront.dev/common/protocol/gen/arbutus/control/v1"
@@ -54,13 +55,14 @@
 func (c *Client) HandleAck(ack *controlv1.HeartbeatAck) {
 	c.announcer.HandleAck(ack)
 	v := c.node.View()
+	revision := config.OrderOf(ack)
 	switch {
-	case ack.GetRevision() == 0:
+	case revision.IsZero():
 		// The balancer has no configuration, so it can't serve a view.
-	case ack.GetRevision() < v.Revision:
+	case revision.Before(v.Revision):
 		// The balancer's view is stale. It gets the new revision from the other balancers.
 	case ack.GetViewDigest() == v.Digest && v.Known:
-		c.node.Confirm(ack.GetRevision())
+		c.node.Confirm(revision)
 	default:
 		c.requestPull(ack)
 	}
--- a/arbutus-agent/balancer/balancer_test.go
+++ b/arbutus-agent/balancer/balancer_test.go
@@ -42,7 +42,7 @@
 		var fetched []netip.AddrPort
 		c := New(node, a, func(_ context.Context, at netip.AddrPort, _ string) (peer.View, error) {
 			fetched = append(fetched, at)
-			return peer.View{Revision: 5, Config: config.View{Service: config.Service{Name: "desk"}}}, nil
+			return peer.View{Revision: config.Order{Number: 5}, Config: config.View{Service: config.Service{Name: "desk"}}}, nil
 		}, log.NewNopLogger())
 		ctx, cancel := context.WithCancel(context.Background())
 		done := c.Run(ctx)
--- a/arbutus-agent/balancer/notices.go
+++ b/arbutus-agent/balancer/notices.go
@@ -54,8 +54,9 @@
 	}
 	v := n.node.View()
 	n.send(to, &controlv1.Datagram{Body: &controlv1.Datagram_Notice{Notice: &controlv1.Notice{
-		Member:    n.announcer.Self().Encode(),
-		Revision:  v.Revision,
-		DomainOut: v.DomainOut,
+		Member:        n.announcer.Self().Encode(),
+		Revision:      v.Revision.Number,
+		ConfigVersion: v.Revision.Version,
+		DomainOut:     v.DomainOut,
 	}}})
 }
--- a/arbutus-agent/flow/engine.go
+++ b/arbutus-agent/flow/engine.go
@@ -193,7 +193,7 @@
 		e.metrics.dropped("no_view").Inc(1)
 		return
 	}
-	if h.Revision < v.Revision {
+	if h.Revision < v.Revision.Number {
 		e.notify(from)
 	}
 	if v.DomainOut {
--- a/arbutus-agent/flow/segment.go
+++ b/arbutus-agent/flow/segment.go
@@ -75,7 +75,7 @@
 // forwardPacket sends the packet to another agent.
 func (e *Engine) forwardPacket(v *state.View, to *placement.Candidate, visited []uint64, p ipv4.Packet) {
 	h := capsule.Header{
-		Revision: v.Revision,
+		Revision: v.Revision.Number,
 		Sender:   e.self().Instance,
 		Target:   to.Instance,
 		Service:  e.self().ServiceKey(),
--- a/arbutus-agent/flow/stack_test.go
+++ b/arbutus-agent/flow/stack_test.go
@@ -68,7 +68,7 @@
 		Phase: member.Serving, Packet: netip.MustParseAddrPort("127.0.0.1:9"),
 	}
 	node := state.NewNode(self)
-	node.Adopt(peer.View{Revision: 1, Members: []member.Member{self}, Config: config.View{
+	node.Adopt(peer.View{Revision: config.Order{Number: 1}, Members: []member.Member{self}, Config: config.View{
 		Service: config.Service{Name: "desk", Address: sampleService.Addr(), Port: sampleService.Port()},
 		Domains: []config.Domain{{Name: "a", State: config.DomainIn}},
 	}})
--- a/arbutus-agent/passthrough/engine.go
+++ b/arbutus-agent/passthrough/engine.go
@@ -227,7 +227,7 @@
 	}
 	// A packet addressed to an earlier incarnation of this agent is handled too: its flow
 	// belongs to the backend server, which may have outlived that incarnation.
-	if h.Target != self.Instance || h.Revision < v.Revision {
+	if h.Target != self.Instance || h.Revision < v.Revision.Number {
 		e.notify(from)
 	}
 	f, err := e.codec.Parse(packet)
--- a/arbutus-agent/passthrough/harness_test.go
+++ b/arbutus-agent/passthrough/harness_test.go
@@ -91,7 +91,7 @@
 // the given state.
 func (r *harness) adopt(revision uint64, north config.DomainState) {
 	r.node.Adopt(peer.View{
-		Revision: revision,
+		Revision: config.Order{Number: revision},
 		Config: config.View{
 			Service:   config.Service{Name: "desk", BackendClass: config.BackendClass{Connections: 100}},
 			Domains:   []config.Domain{{Name: "north", State: north}, {Name: "south", State: config.DomainIn}},
--- a/arbutus-agent/passthrough/inbound.go
+++ b/arbutus-agent/passthrough/inbound.go
@@ -314,7 +314,7 @@
 
 // forwardTo sends the packet to another agent.
 func (e *Engine) forwardTo(v *state.View, to *placement.Candidate, h capsule.Header, p frame.Frame) {
-	h.Revision = max(h.Revision, v.Revision)
+	h.Revision = max(h.Revision, v.Revision.Number)
 	h.Sender = e.self().Instance
 	h.Target = to.Instance
 	b := capsule.AppendPacket(make([]byte, 0, datagram.MaxBytes), h, p.Bytes)
--- a/arbutus-agent/passthrough/serve/dump.go
+++ b/arbutus-agent/passthrough/serve/dump.go
@@ -10,15 +10,17 @@
 type (
 	// dump is the agent's state as served by the DumpService.
 	dump struct {
-		Self       member.Member             `json:"self"`
-		Ready      bool                      `json:"ready"`
-		Reason     string                    `json:"reason"`
-		Revision   uint64                    `json:"revision"`
-		Config     *config.View              `json:"config"`
-		DomainOut  bool                      `json:"domain_out"`
-		Monitors   []string                  `json:"monitors"`
-		Candidates []placement.CandidateDump `json:"candidates"`
-		Load       load.Load                 `json:"load"`
+		Self     member.Member `json:"self"`
+		Ready    bool          `json:"ready"`
+		Reason   string        `json:"reason"`
+		Revision uint64        `json:"revision"`
+		// ConfigVersion is the version of the configuration if another system writes it.
+		ConfigVersion uint64                    `json:"config_version"`
+		Config        *config.View              `json:"config"`
+		DomainOut     bool                      `json:"domain_out"`
+		Monitors      []string                  `json:"monitors"`
+		Candidates    []placement.CandidateDump `json:"candidates"`
+		Load          load.Load                 `json:"load"`
 	}
 )
 
@@ -26,13 +28,14 @@
 	v := s.node.View()
 	reason := s.NotReadyReason()
 	d := dump{
-		Self:       s.announcer.Self(),
-		Ready:      reason == "",
-		Reason:     reason,
-		Revision:   v.Revision,
-		DomainOut:  v.DomainOut,
-		Candidates: v.Agents.Dump(),
-		Load:       s.engine.Load(),
+		Self:          s.announcer.Self(),
+		Ready:         reason == "",
+		Reason:        reason,
+		Revision:      v.Revision.Number,
+		ConfigVersion: v.Revision.Version,
+		DomainOut:     v.DomainOut,
+		Candidates:    v.Agents.Dump(),
+		Load:          s.engine.Load(),
 	}
 	if v.Known {
 		d.Config = &v.Config
--- a/arbutus-agent/serve/dump.go
+++ b/arbutus-agent/serve/dump.go
@@ -13,18 +13,20 @@
 type (
 	// dump is the state of an agent for inspection.
 	dump struct {
-		Self       member.Member             `json:"self"`
-		Ready      bool                      `json:"ready"`
-		Reason     string                    `json:"reason"`
-		Trusted    bool                      `json:"trusted"`
-		Revision   uint64                    `json:"revision"`
-		Config     *config.View              `json:"config"`
-		DomainOut  bool                      `json:"domain_out"`
-		Drained    bool                      `json:"drained"`
-		Monitors   []string                  `json:"monitors"`
-		Candidates []placement.CandidateDump `json:"candidates"`
-		Limits     backend.Snapshot          `json:"limits"`
-		Flows      flow.Dump                 `json:"flows"`
+		Self     member.Member `json:"self"`
+		Ready    bool          `json:"ready"`
+		Reason   string        `json:"reason"`
+		Trusted  bool          `json:"trusted"`
+		Revision uint64        `json:"revision"`
+		// ConfigVersion is the version of the configuration if another system writes it.
+		ConfigVersion uint64                    `json:"config_version"`
+		Config        *config.View              `json:"config"`
+		DomainOut     bool                      `json:"domain_out"`
+		Drained       bool                      `json:"drained"`
+		Monitors      []string                  `json:"monitors"`
+		Candidates    []placement.CandidateDump `json:"candidates"`
+		Limits        backend.Snapshot          `json:"limits"`
+		Flows         flow.Dump                 `json:"flows"`
 	}
 )
 
@@ -32,16 +34,17 @@
 	v := n.View()
 	reason := notReadyReason(n, a)
 	d := dump{
-		Self:       a.Self(),
-		Ready:      reason == "",
-		Reason:     reason,
-		Trusted:    a.HasLease(),
-		Revision:   v.Revision,
-		DomainOut:  v.DomainOut,
-		Candidates: v.Agents.Dump(),
-		Drained:    v.Drained,
-		Limits:     b.Limiter.Snapshot(),
-		Flows:      e.Dump(),
+		Self:          a.Self(),
+		Ready:         reason == "",
+		Reason:        reason,
+		Trusted:       a.HasLease(),
+		Revision:      v.Revision.Number,
+		ConfigVersion: v.Revision.Version,
+		DomainOut:     v.DomainOut,
+		Candidates:    v.Agents.Dump(),
+		Drained:       v.Drained,
+		Limits:        b.Limiter.Snapshot(),
+		Flows:         e.Dump(),
 	}
 	if v.Known {
 		d.Config = &v.Config
--- a/arbutus-agent/state/node.go
+++ b/arbutus-agent/state/node.go
@@ -30,7 +30,7 @@
 	// a configuration.
 	View struct {
 		Known    bool
-		Revision uint64
+		Revision config.Order
 		Config   config.View
 		// DomainOut is set if this agent's failure domain is out, Drained if its
 		// backend server is drained.
@@ -61,7 +61,7 @@
 		current atomic.Pointer[View]
 
 		mu                 sync.Mutex
-		revision           uint64
+		revision           config.Order
 		known              bool
 		config             config.View
 		partitionedRegions []string
@@ -95,7 +95,7 @@
 }
 
 // Adopt merges a view that a balancer sent. The configuration is adopted unless its
-// revision is lower than the known one; members are merged in any case. A view that
+// revision comes before the known one; members are merged in any case. A view that
 // lists this agent's own region as silent is ignored: its balancer was partitioned from
 // the region, so it may report live agents as dead.
 func (n *Node) Adopt(v peer.View) {
@@ -107,7 +107,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if v.Revision >= n.revision {
+	if !v.Revision.Before(n.revision) {
 		n.revision, n.config, n.known = v.Revision, v.Config, true
 		n.recordPartitions(v.PartitionedRegions)
 	}
@@ -115,10 +115,10 @@
 }
 
 // Confirm raises the revision of the view without a change to its contents.
-func (n *Node) Confirm(revision uint64) {
+func (n *Node) Confirm(revision config.Order) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.known && revision > n.revision {
+	if n.known && n.revision.Before(revision) {
 		n.revision = revision
 		n.rebuild()
 	}
--- a/arbutus-balancer/balancer/gossip.go
+++ b/arbutus-balancer/balancer/gossip.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"arbutusfront.dev/common/coordination/config"
 	"arbutusfront.dev/common/coordination/member"
 	controlv1 "arbutusfront.dev/common/protocol/gen/arbutus/control/v1"
 	"arbutusfront.dev/common/transport/wait"
@@ -56,7 +57,7 @@
 // unless it was fetched from a balancer, to one of each other failure domain.
 func (p *Peers) spreadRevision() {
 	to := pickRandom(p.near(), fanout)
-	if p.node.Config.Current().Number() != p.fetchedRevision.Load() {
+	if p.node.Config.Current().Order() != *p.fetchedRevision.Load() {
 		to = append(to, p.oneOfEachOtherDomain()...)
 	}
 	p.spread(nil, to)
@@ -73,14 +74,16 @@
 	return pickRandom(p.far(), 1)
 }
 
-// spread sends the changes, the number of the revision in force and the digest of the
+// spread sends the changes, the order of the revision in force and the digest of the
 // table to the balancers.
 func (p *Peers) spread(changes []member.Member, to []member.Member) {
+	revision := p.node.Config.Current().Order()
 	g := &controlv1.Gossip{
-		Sender:      p.announcer.Self().Encode(),
-		Changes:     member.EncodeAll(changes),
-		Revision:    p.node.Config.Current().Number(),
-		TableDigest: p.node.Table.Snapshot().Digest,
+		Sender:        p.announcer.Self().Encode(),
+		Changes:       member.EncodeAll(changes),
+		Revision:      revision.Number,
+		ConfigVersion: revision.Version,
+		TableDigest:   p.node.Table.Snapshot().Digest,
 
 		RevisionAgeMillis: p.revisionAge(),
 	}
@@ -132,7 +135,7 @@
 		// until it has announced a later version of itself.
 		return
 	}
-	p.confirmRevision(g.GetRevision(), g.GetRevisionAgeMillis())
+	p.confirmRevision(config.OrderOf(g), g.GetRevisionAgeMillis())
 	for _, c := range g.GetChanges() {
 		m, err := member.Decode(c)
 		if err != nil {
@@ -142,7 +145,7 @@
 	}
 	p.queuePull(pull{
 		from:     sender,
-		revision: g.GetRevision() > p.node.Config.Current().Number(),
+		revision: p.isNewer(config.OrderOf(g)),
 		members:  len(g.GetChanges()) == 0 && g.GetTableDigest() != p.node.Table.Snapshot().Digest,
 	})
 }
@@ -205,9 +208,10 @@
 		_ = level.Warn(p.log).Log("event", "pull_failed", "peer", from.Name, "err", err)
 		return
 	}
-	p.fetchedRevision.Store(r.Number())
+	fetched := r.Order()
+	p.fetchedRevision.Store(&fetched)
 	if p.node.Config.Adopt(r) {
-		_ = level.Info(p.log).Log("event", "revision_adopted", "revision", r.Number(), "from", from.Name)
+		_ = level.Info(p.log).Log("event", "revision_adopted", "revision", r.Order(), "from", from.Name)
 	}
 }
 
--- a/arbutus-balancer/balancer/peers.go
+++ b/arbutus-balancer/balancer/peers.go
@@ -82,9 +82,9 @@
 		// synced is set once the differing part of another balancer's table has been
 		// merged.
 		synced atomic.Bool
-		// fetchedRevision is the number of the last revision that was fetched from another
-		// balancer; 0 if there is none.
-		fetchedRevision atomic.Uint64
+		// fetchedRevision is the order of the last revision that was fetched from another
+		// balancer; zero if there is none.
+		fetchedRevision atomic.Pointer[config.Order]
 
 		mu sync.Mutex
 		// rumors are the changes that are being sent.
@@ -127,7 +127,7 @@
 	// regionCache holds the regions whose members have all been declared dead, for one
 	// state of the table and the configuration.
 	regionCache struct {
-		revision   uint64
+		revision   config.Order
 		generation uint64
 		regions    []string
 	}
@@ -135,7 +135,7 @@
 	// cachedDigest holds the digest of one service's view, for one state of the table and
 	// the configuration.
 	cachedDigest struct {
-		revision   uint64
+		revision   config.Order
 		generation uint64
 		digest     uint64
 	}
@@ -171,6 +171,7 @@
 		suspicions:       make(map[member.ID]*suspicion),
 		viewDigests:      make(map[string]cachedDigest),
 	}
+	p.fetchedRevision.Store(new(config.Order))
 	for _, opt := range opts {
 		opt(p)
 	}
@@ -248,9 +249,9 @@
 	if m.IsComplete() && p.Learn(m) {
 		p.GossipNow()
 	}
-	p.node.RecordHeartbeat(m.ID(), state.Heartbeat{At: now, Revision: h.GetRevision(), Flows: h.GetFlows()})
+	p.node.RecordHeartbeat(m.ID(), state.Heartbeat{At: now, Revision: config.OrderOf(h), Flows: h.GetFlows()})
 	known, _ = p.node.Table.Get(m.ID())
-	if m.Role == member.Balancer && h.GetRevision() > p.node.Config.Current().Number() {
+	if m.Role == member.Balancer && p.isNewer(config.OrderOf(h)) {
 		p.queuePull(pull{from: known, revision: true})
 	}
 	p.sendAck(from, p.buildAck(known, h))
@@ -266,11 +267,13 @@
 // why its claim is refused, if it is.
 func (p *Peers) buildAck(known member.Member, h *controlv1.Heartbeat) *controlv1.HeartbeatAck {
 	snapshot := p.node.Table.Snapshot()
+	revision := p.node.Config.Current().Order()
 	ack := &controlv1.HeartbeatAck{
-		Sequence:     h.GetSequence(),
-		Monitor:      p.announcer.Self().WithoutAddresses().Encode(),
-		Revision:     p.node.Config.Current().Number(),
-		KnownVersion: known.Version,
+		Sequence:      h.GetSequence(),
+		Monitor:       p.announcer.Self().WithoutAddresses().Encode(),
+		Revision:      revision.Number,
+		ConfigVersion: revision.Version,
+		KnownVersion:  known.Version,
 
 		RevisionAgeMillis: p.revisionAge(),
 		DeclaredDead:      known.Phase == member.Dead,
@@ -316,13 +319,13 @@
 		p.learnFromPeer(monitor)
 	}
 	p.announcer.HandleAck(ack)
-	p.confirmRevision(ack.GetRevision(), ack.GetRevisionAgeMillis())
+	p.confirmRevision(config.OrderOf(ack), ack.GetRevisionAgeMillis())
 	known, ok := p.node.Table.Get(monitor.ID())
 	if !ok {
 		return
 	}
 	p.queuePull(pull{from: known, members: !p.Synced()})
-	p.queuePull(pull{from: known, revision: ack.GetRevision() > p.node.Config.Current().Number()})
+	p.queuePull(pull{from: known, revision: p.isNewer(config.OrderOf(ack))})
 }
 
 // revisionAge returns the time since the store confirmed the revision in force as it is
@@ -338,12 +341,17 @@
 // confirmRevision records when the store confirmed the revision, as reported by another
 // balancer. The age is encoded as by revisionAge; the added millisecond is not
 // subtracted, so the confirmation is recorded as 1 ms older.
-func (p *Peers) confirmRevision(revision uint64, encodedAge uint32) {
+func (p *Peers) confirmRevision(revision config.Order, encodedAge uint32) {
 	if encodedAge > 0 {
 		p.node.Config.Confirm(revision, p.now().Add(-time.Duration(encodedAge)*time.Millisecond))
 	}
 }
 
+// isNewer reports whether the revision comes after the one in force.
+func (p *Peers) isNewer(revision config.Order) bool {
+	return p.node.Config.Current().Order().Before(revision)
+}
+
 // handleNotice handles a member's notice of its own state and of the revision that it has
 // in force. If that revision is newer, a pull from a random balancer is queued. If it also
 // takes the member's failure domain out, the failure domain is blocked until this balancer
@@ -355,12 +363,12 @@
 	}
 	p.node.RecordContact(m.Domain, p.now())
 	p.Learn(m)
-	current := p.node.Config.Current().Number()
-	if n.GetRevision() <= current {
+	revision := config.OrderOf(n)
+	if !p.isNewer(revision) {
 		return
 	}
 	if n.GetDomainOut() {
-		p.node.BlockDomain(m.Domain, n.GetRevision())
+		p.node.BlockDomain(m.Domain, revision)
 	}
 	for _, b := range p.digestPeer() {
 		p.queuePull(pull{from: b, revision: true})
--- a/arbutus-balancer/balancer/view.go
+++ b/arbutus-balancer/balancer/view.go
@@ -18,14 +18,14 @@
 	}
 	v, ok := r.Config.View(service)
 	if !ok {
-		return peer.View{Revision: r.Number()}, false
+		return peer.View{Revision: r.Order()}, false
 	}
 	snapshot := p.node.Table.Snapshot()
 	members := snapshot.Select(func(m member.Member) bool { return m.Service == service })
 	// Only agents of the same service need to know a drained backend server.
 	v.Drained = slices.DeleteFunc(slices.Clone(v.Drained), func(name string) bool { return !containsName(members, name) })
 	return peer.View{
-		Revision:           r.Number(),
+		Revision:           r.Order(),
 		Config:             v,
 		Members:            members,
 		PartitionedRegions: p.partitionedRegions(r, snapshot),
@@ -35,7 +35,7 @@
 // viewDigest returns the digest of the service's view; 0 if there is none. It is
 // cached, because the acknowledgment of each heartbeat contains it.
 func (p *Peers) viewDigest(service string) uint64 {
-	revision := p.node.Config.Current().Number()
+	revision := p.node.Config.Current().Order()
 	generation := p.node.Table.Snapshot().Generation
 	p.mu.Lock()
 	cached, ok := p.viewDigests[service]
@@ -58,11 +58,11 @@
 func (p *Peers) partitionedRegions(r *config.Revision, s *member.Snapshot) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.partitionedCache.generation == s.Generation && p.partitionedCache.revision == r.Number() {
+	if p.partitionedCache.generation == s.Generation && p.partitionedCache.revision == r.Order() {
 		return p.partitionedCache.regions
 	}
 	p.partitionedCache = regionCache{
-		revision:   r.Number(),
+		revision:   r.Order(),
 		generation: s.Generation,
 		regions:    findPartitionedRegions(r.Config, s, p.announcer.Self().Domain),
 	}
--- a/arbutus-balancer/fabric/forwarder.go
+++ b/arbutus-balancer/fabric/forwarder.go
@@ -259,7 +259,7 @@
 		return nil, netip.AddrPort{}, err
 	}
 	h := capsule.Header{
-		Revision: routes.Revision,
+		Revision: routes.Revision.Number,
 		Sender:   f.self.Instance,
 		Target:   to.agent.Instance,
 		Service:  to.target.Key,
@@ -336,7 +336,7 @@
 // refuse resets a flow to an endpoint without a route, and counts it as refused. Without
 // a configuration all endpoints are unknown, so no flow is reset.
 func (f *Forwarder) refuse(routes *state.Routes, p frame.Frame) {
-	if routes.Revision == 0 {
+	if routes.Revision.IsZero() {
 		return
 	}
 	if f.reset(p) {
--- a/arbutus-balancer/fabric/forwarder_test.go
+++ b/arbutus-balancer/fabric/forwarder_test.go
@@ -57,7 +57,7 @@
 			tb.Error(err)
 		}
 	})
-	for node.Routes().Revision == 0 {
+	for node.Routes().Revision.IsZero() {
 		time.Sleep(time.Millisecond)
 	}
 	return node
--- a/arbutus-balancer/fabric/pending.go
+++ b/arbutus-balancer/fabric/pending.go
@@ -76,7 +76,7 @@
 	case dropNoAgent:
 		return true
 	case dropService:
-		return f.node.Routes().Revision == 0
+		return f.node.Routes().Revision.IsZero()
 	default:
 		return false
 	}
--- a/arbutus-balancer/fabric/unclaimed.go
+++ b/arbutus-balancer/fabric/unclaimed.go
@@ -97,7 +97,7 @@
 	}
 	next := capsule.Header{
 		Visited:  h.Visited,
-		Revision: routes.Revision,
+		Revision: routes.Revision.Number,
 		Sender:   f.self.Instance,
 		Target:   agent.Instance,
 		Service:  t.Key,
--- a/arbutus-balancer/fabric/unconfigured.go
+++ b/arbutus-balancer/fabric/unconfigured.go
@@ -15,7 +15,7 @@
 // server only and knows no other agent, so the balancer queries one agent after the
 // other.
 func (f *Forwarder) mayBeHeld(routes *state.Routes, p frame.Frame) bool {
-	return f.placement != nil && routes.Revision == 0 && !p.IsSYN() && !f.refusesUnconfigured
+	return f.placement != nil && routes.Revision.IsZero() && !p.IsSYN() && !f.refusesUnconfigured
 }
 
 // firstTarget returns the service that is queried first for a flow: the one that the hash
--- a/arbutus-balancer/operator/operator.go
+++ b/arbutus-balancer/operator/operator.go
@@ -163,7 +163,7 @@
 		}
 		out.Members = append(out.Members, &controlv1.MemberStatus{
 			Member:       m.Encode(),
-			Revision:     h.Revision,
+			Revision:     h.Revision.Number,
 			Flows:        h.Flows,
 			SilentMillis: now.Sub(h.At).Milliseconds(),
 		})
--- a/arbutus-balancer/operator/status.go
+++ b/arbutus-balancer/operator/status.go
@@ -9,6 +9,7 @@
 
 	"connectrpc.com/connect"
 
+	"arbutusfront.dev/common/coordination/config"
 	"arbutusfront.dev/common/coordination/member"
 	controlv1 "arbutusfront.dev/common/protocol/gen/arbutus/control/v1"
 	"arbutusfront.dev/common/protocol/gen/arbutus/control/v1/controlv1connect"
@@ -66,7 +67,7 @@
 }
 
 func mergeStatus(into, from *controlv1.StatusResponse) {
-	if from.GetHead().GetRevision() > into.GetHead().GetRevision() {
+	if config.OrderOf(into.GetHead()).Before(config.OrderOf(from.GetHead())) {
 		into.Head = from.GetHead()
 	}
 	into.Members = append(into.Members, from.GetMembers()...)
--- a/arbutus-balancer/serve/dump.go
+++ b/arbutus-balancer/serve/dump.go
@@ -15,25 +15,28 @@
 	// say whether the balancer is ready, as the readiness probe does. StoreEra is the
 	// store's era as of its last response to this balancer, 0 if there was none.
 	dump struct {
-		Self     member.Member     `json:"self"`
-		Ready    bool              `json:"ready"`
-		Reason   string            `json:"reason"`
-		Revision uint64            `json:"revision"`
-		StoreEra uint64            `json:"store_era"`
-		Config   *config.Config    `json:"config"`
-		Monitors []string          `json:"monitors"`
-		Members  []memberDump      `json:"members"`
-		Routes   []state.RouteDump `json:"routes"`
+		Self     member.Member `json:"self"`
+		Ready    bool          `json:"ready"`
+		Reason   string        `json:"reason"`
+		Revision uint64        `json:"revision"`
+		// ConfigVersion is the version of the configuration if another system writes it.
+		ConfigVersion uint64            `json:"config_version"`
+		StoreEra      uint64            `json:"store_era"`
+		Config        *config.Config    `json:"config"`
+		Monitors      []string          `json:"monitors"`
+		Members       []memberDump      `json:"members"`
+		Routes        []state.RouteDump `json:"routes"`
 	}
 
 	// memberDump is one member, with its last heartbeat to this balancer if there was
 	// one.
 	memberDump struct {
-		Member       member.Member `json:"member"`
-		HasHeartbeat bool          `json:"heard"`
-		SilentMillis int64         `json:"silent_millis"`
-		Revision     uint64        `json:"revision"`
-		Flows        uint32        `json:"flows"`
+		Member        member.Member `json:"member"`
+		HasHeartbeat  bool          `json:"heard"`
+		SilentMillis  int64         `json:"silent_millis"`
+		Revision      uint64        `json:"revision"`
+		ConfigVersion uint64        `json:"config_version"`
+		Flows         uint32        `json:"flows"`
 	}
 )
 
@@ -44,7 +47,7 @@
 		Self: a.Self(), Ready: reason == "", Reason: reason, StoreEra: eras.Current(), Routes: n.Routes().Dump(),
 	}
 	if r := n.Config.Current(); r != nil {
-		d.Revision = r.Number()
+		d.Revision, d.ConfigVersion = r.Order().Number, r.Order().Version
 		d.Config = &r.Config
 	}
 	for _, m := range a.Monitors() {
@@ -56,7 +59,7 @@
 		if h, ok := n.LastHeartbeat(m.ID()); ok {
 			entry.HasHeartbeat = true
 			entry.SilentMillis = now.Sub(h.At).Milliseconds()
-			entry.Revision = h.Revision
+			entry.Revision, entry.ConfigVersion = h.Revision.Number, h.Revision.Version
 			entry.Flows = h.Flows
 		}
 		d.Members = append(d.Members, entry)
--- a/arbutus-balancer/serve/providers.go
+++ b/arbutus-balancer/serve/providers.go
@@ -87,7 +87,7 @@
 		heartbeat.WithSeeds(m.seeds(s.Seeds, s.PacketAddress)),
 		heartbeat.WithUnreachable(m.unreachable(s.Seeds, s.PacketAddress, n)),
 		heartbeat.WithReport(func() heartbeat.Report {
-			return heartbeat.Report{Revision: n.Config.Current().Number()}
+			return heartbeat.Report{Revision: n.Config.Current().Order()}
 		}),
 		heartbeat.WithPace(func() heartbeat.Pace { return paceOf(n.Config.Current()) }),
 		heartbeat.WithRefute(func(m member.Member) { n.Table.Merge(m) }),
--- a/arbutus-balancer/state/node.go
+++ b/arbutus-balancer/state/node.go
@@ -28,7 +28,7 @@
 	// arrived.
 	Heartbeat struct {
 		At       time.Time
-		Revision uint64
+		Revision config.Order
 		Flows    uint32
 	}
 
@@ -48,7 +48,7 @@
 		lastContacts map[string]time.Time
 		// blockedUntil is, by failure domain, the revision until which the failure domain is
 		// treated as taken out (BlockDomain).
-		blockedUntil map[string]uint64
+		blockedUntil map[string]config.Order
 		// settledAgents has an entry for each live agent, by instance: whether it is
 		// past the joining phase. lastJoin is when an agent was last added, or entered
 		// or left the joining phase; at first, when the balancer started.
@@ -66,7 +66,7 @@
 		wake:          make(chan struct{}, 1),
 		heartbeats:    make(map[member.ID]Heartbeat),
 		lastContacts:  make(map[string]time.Time),
-		blockedUntil:  make(map[string]uint64),
+		blockedUntil:  make(map[string]config.Order),
 		settledAgents: make(map[uint64]bool),
 		lastJoin:      time.Now(),
 	}
@@ -186,9 +186,9 @@
 // BlockDomain treats the failure domain as taken out until the balancer has the given
 // revision in force itself. It is called when an agent of that failure domain reports a
 // later revision that takes the failure domain out.
-func (n *Node) BlockDomain(domain string, revision uint64) {
+func (n *Node) BlockDomain(domain string, revision config.Order) {
 	n.mu.Lock()
-	raised := n.blockedUntil[domain] < revision
+	raised := n.blockedUntil[domain].Before(revision)
 	if raised {
 		n.blockedUntil[domain] = revision
 	}
--- a/arbutus-balancer/state/routes.go
+++ b/arbutus-balancer/state/routes.go
@@ -45,7 +45,7 @@
 
 	// Routes are the routes for one revision of the configuration and one set of members.
 	Routes struct {
-		Revision   uint64
+		Revision   config.Order
 		byEndpoint map[netip.AddrPort]*Route
 		// services are ordered by name. byKey indexes them by key, byInstance by the
 		// instance of each of their agents.
@@ -58,9 +58,9 @@
 // BuildRoutes returns the routes for the revision and the members. A failure domain in
 // blockedUntil is treated as taken out until the revision given there is in force. Without a
 // configuration (r is nil) there are no routes, only the services that agents announce.
-func BuildRoutes(r *config.Revision, members []member.Member, blockedUntil map[string]uint64) *Routes {
+func BuildRoutes(r *config.Revision, members []member.Member, blockedUntil map[string]config.Order) *Routes {
 	routes := &Routes{
-		Revision: r.Number(), byEndpoint: make(map[netip.AddrPort]*Route),
+		Revision: r.Order(), byEndpoint: make(map[netip.AddrPort]*Route),
 		byKey: make(map[capsule.ServiceKey]*Target), byInstance: make(map[uint64]*Target, len(members)),
 	}
 	byService := make(map[string][]member.Member)
@@ -74,7 +74,7 @@
 	}
 	policy := placement.Policy{
 		DomainIsOut: func(domain string) bool {
-			return r.Config.DomainIsOut(domain) || blockedUntil[domain] > r.Number()
+			return r.Config.DomainIsOut(domain) || r.Order().Before(blockedUntil[domain])
 		},
 		IsDrained:  r.Config.IsDrained,
 		KeepsFlows: r.Config.Deployment.KeepsFlows(),
--- a/arbutus-balancer/store/watcher.go
+++ b/arbutus-balancer/store/watcher.go
@@ -207,7 +207,7 @@
 	}
 	w.eraGauge.Update(float64(current))
 	_ = level.Info(w.log).Log(
-		"event", event, "era", current, "former", former, "revision", w.node.Config.Current().Number())
+		"event", event, "era", current, "former", former, "revision", w.node.Config.Current().Order())
 }
 
 // mustWatch reports whether this balancer is to watch the store now: it is elected, or
@@ -253,7 +253,7 @@
 	}
 	known := w.node.Config.Current()
 	if e.Version <= version {
-		w.node.Config.Confirm(known.Number(), time.Now())
+		w.node.Config.Confirm(known.Order(), time.Now())
 		if e.Version == 0 && known != nil {
 			return 0, w.writeBack(ctx, known)
 		}
@@ -275,9 +275,9 @@
 		wait.For(ctx, rand.N(w.chunkSpread*time.Duration(missing)))
 		known = w.node.Config.Current()
 	}
-	if head.GetRevision() <= known.Number() {
-		w.node.Config.Confirm(known.Number(), time.Now())
-		if head.GetRevision() < known.Number() {
+	if stored := config.OrderOf(&head); !known.Order().Before(stored) {
+		w.node.Config.Confirm(known.Order(), time.Now())
+		if stored.Before(known.Order()) {
 			return e.Version, w.writeBack(ctx, known)
 		}
 		return e.Version, nil
@@ -291,9 +291,9 @@
 		return version, err
 	}
 	adopted := w.node.Config.Adopt(r)
-	w.node.Config.Confirm(r.Number(), time.Now())
+	w.node.Config.Confirm(r.Order(), time.Now())
 	if adopted {
-		_ = level.Info(w.log).Log("event", "revision_adopted", "revision", r.Number(), "from", "store")
+		_ = level.Info(w.log).Log("event", "revision_adopted", "revision", r.Order(), "from", "store")
 	}
 	return e.Version, nil
 }
@@ -308,7 +308,7 @@
 	if written {
 		w.writtenBack.Inc(1)
 		_ = level.Warn(w.log).Log(
-			"event", "head_written_back", "revision", r.Number(), "era", w.client.Eras.Current())
+			"event", "head_written_back", "revision", r.Order(), "era", w.client.Eras.Current())
 	}
 	return err
 }
--- a/arbutus-balancer/store/watcher_test.go
+++ b/arbutus-balancer/store/watcher_test.go
@@ -125,7 +125,7 @@
 		done := New(s.client(), node, self, log.NewNopLogger(), WithFreshness(testWait, testBound)).Run(ctx)
 		before := s.calls.Load()
 		for range 50 {
-			node.Config.Confirm(node.Config.Current().Number(), time.Now())
+			node.Config.Confirm(node.Config.Current().Order(), time.Now())
 			time.Sleep(200 * time.Millisecond)
 		}
 		NewWithT(t).Expect(s.calls.Load()).To(Equal(before), "peers confirm the revision")
--- a/arbutus-lab/patterns/simulation_test.go
+++ b/arbutus-lab/patterns/simulation_test.go
@@ -369,7 +369,7 @@
 		members = append(members, s.identity())
 	}
 	return peer.View{
-		Revision: 1, Members: members,
+		Revision: config.Order{Number: 1}, Members: members,
 		Config: config.View{Service: sim.service(), Domains: sim.configDomains(), DomainOut: config.KeepFlows},
 	}
 }
--- a/common/coordination/config/abridge.go
+++ b/common/coordination/config/abridge.go
@@ -37,8 +37,8 @@
 	response := &controlv1.GetHeadResponse{
 		Abridged: true,
 		Head: &controlv1.Head{
-			Revision: r.Head.GetRevision(), Digest: r.Head.GetDigest(), Accepted: r.Head.GetAccepted(),
-			StoreEra: r.Head.GetStoreEra(),
+			Revision: r.Head.GetRevision(), ConfigVersion: r.Head.GetConfigVersion(), Digest: r.Head.GetDigest(),
+			Accepted: r.Head.GetAccepted(), StoreEra: r.Head.GetStoreEra(),
 		},
 	}
 	for _, a := range r.Head.GetHistory() {
@@ -100,7 +100,7 @@
 // historyBefore returns the history entries that an abridged head left out because r
 // has them, latest first. They include r's own entry only if the head is later than r.
 func (r *Revision) historyBefore(head *controlv1.Head) []*controlv1.Accepted {
-	if head.GetRevision() <= r.Number() {
+	if !r.Order().Before(OrderOf(head)) {
 		return r.Head.GetHistory()
 	}
 	return append([]*controlv1.Accepted{r.Head.GetAccepted()}, r.Head.GetHistory()...)
--- a/common/coordination/config/holder.go
+++ b/common/coordination/config/holder.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// RevisionHolder holds the revision that is in force in a process. The revision number
-// only ever increases. It is safe for concurrent use.
+// RevisionHolder holds the revision that is in force in a process. Its order only
+// ever increases. It is safe for concurrent use.
 type RevisionHolder struct {
 	mu      sync.Mutex
 	current *Revision
@@ -33,12 +33,11 @@
 	return h.changed
 }
 
-// Adopt puts r in force if its number is higher than the current revision's, and
-// reports whether it did.
+// Adopt puts r in force if it comes after the current revision, and reports whether it did.
 func (h *RevisionHolder) Adopt(r *Revision) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if r.Number() <= h.current.Number() {
+	if !h.current.Order().Before(r.Order()) {
 		return false
 	}
 	h.current = r
@@ -49,10 +48,10 @@
 
 // Confirm records that the given revision was the store's latest at that time. It is
 // ignored if another revision is in force here, or if a later confirmation is known.
-func (h *RevisionHolder) Confirm(revision uint64, at time.Time) {
+func (h *RevisionHolder) Confirm(revision Order, at time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if revision == h.current.Number() && at.After(h.confirmedAt) {
+	if revision == h.current.Order() && at.After(h.confirmedAt) {
 		h.confirmedAt = at
 	}
 }
--- a/common/coordination/config/revision.go
+++ b/common/coordination/config/revision.go
@@ -109,11 +109,7 @@
 // NewHead returns a head that references the chunks and follows the head base, which is
 // nil for the first revision.
 func NewHead(base *controlv1.Head, chunks []Chunk, accepted *controlv1.Accepted) *controlv1.Head {
-	head := &controlv1.Head{
-		Revision: base.GetRevision() + 1,
-		Accepted: proto.CloneOf(accepted),
-	}
-	head.Accepted.Revision = head.Revision
+	head := NewHeadAt(Order{Number: base.GetRevision() + 1}, chunks, accepted)
 	if base.GetAccepted() != nil {
 		head.History = append(head.History, base.GetAccepted())
 	}
@@ -121,6 +117,15 @@
 	if len(head.History) > historyLength {
 		head.History = head.History[:historyLength]
 	}
+	return head
+}
+
+// NewHeadAt returns a head that references the chunks and has the order. It has no history.
+func NewHeadAt(o Order, chunks []Chunk, accepted *controlv1.Accepted) *controlv1.Head {
+	head := &controlv1.Head{
+		Revision: o.Number, ConfigVersion: o.Version, Accepted: proto.CloneOf(accepted),
+	}
+	head.Accepted.Revision = head.Revision
 	for _, c := range chunks {
 		head.Chunks = append(head.Chunks, &controlv1.ChunkRef{Name: c.Name, Digest: c.Digest[:]})
 	}
@@ -157,7 +162,8 @@
 	return r, nil
 }
 
-// Number returns the revision's number; a nil Revision has number zero.
+// Number returns the revision's number, which orders the revisions of arbutusfront's own store; a
+// nil Revision has number zero. Use Order where another system may write the configuration.
 func (r *Revision) Number() uint64 {
 	if r == nil {
 		return 0
--- a/common/coordination/heartbeat/announcer.go
+++ b/common/coordination/heartbeat/announcer.go
@@ -23,6 +23,7 @@
 	"sync"
 	"time"
 
+	"arbutusfront.dev/common/coordination/config"
 	"arbutusfront.dev/common/coordination/member"
 	controlv1 "arbutusfront.dev/common/protocol/gen/arbutus/control/v1"
 	"arbutusfront.dev/common/state/clock"
@@ -56,7 +57,7 @@
 	// Report is the state that a heartbeat contains in addition to the member's record:
 	// the configuration revision in force and the number of flows held.
 	Report struct {
-		Revision uint64
+		Revision config.Order
 		Flows    int
 	}
 
--- a/common/coordination/heartbeat/targets.go
+++ b/common/coordination/heartbeat/targets.go
@@ -76,7 +76,8 @@
 			Heartbeat: &controlv1.Heartbeat{
 				Member:         record.Encode(),
 				Sequence:       a.sequence,
-				Revision:       report.Revision,
+				Revision:       report.Revision.Number,
+				ConfigVersion:  report.Revision.Version,
 				Flows:          uint32(report.Flows),
 				MonitorsDigest: digest,
 			},
--- a/common/coordination/peer/view.go
+++ b/common/coordination/peer/view.go
@@ -17,7 +17,7 @@
 // View is the state that a balancer sends to the agents of one service: the service's part
 // of the configuration and the members of the service.
 type View struct {
-	Revision uint64
+	Revision config.Order
 	Config   config.View
 	Members  []member.Member
 	// PartitionedRegions are the regions other than the balancer's own in which some members
@@ -25,7 +25,7 @@
 	PartitionedRegions []string
 }
 
-// Digest returns a hash of the view. It doesn't depend on the revision number, nor on
+// Digest returns a hash of the view. It doesn't depend on the revision, nor on
 // members that are dead or have left, so that their changes alone don't make agents fetch
 // the view again.
 func (v View) Digest() (uint64, error) {
@@ -51,7 +51,8 @@
 		return nil, err
 	}
 	return &controlv1.GetViewResponse{
-		Revision:      v.Revision,
+		Revision:      v.Revision.Number,
+		ConfigVersion: v.Revision.Version,
 		View:          b,
 		Members:       member.EncodeAll(v.Members),
 		ViewDigest:    digest,
@@ -66,7 +67,7 @@
 		return View{}, err
 	}
 	return View{
-		Revision:           m.GetRevision(),
+		Revision:           config.OrderOf(m),
 		Config:             v,
 		Members:            decodeAll(m.GetMembers()),
 		PartitionedRegions: m.GetSilentRegions(),
--- a/common/protocol/capsule/capsule.go
+++ b/common/protocol/capsule/capsule.go
@@ -105,7 +105,9 @@
 
 	// Header precedes a caller's packet.
 	Header struct {
-		// Revision is the configuration revision that is in force at the sender.
+		// Revision is the number of the configuration revision in force at the sender. It
+		// shows whether that may be outdated; if another system writes the configuration,
+		// its version orders revisions first.
 		Revision uint64
 		// Sender is the instance of the process that sent the datagram.
 		Sender uint64
