--- a/arbutus-agent/passthrough/announcements.go
+++ b/arbutus-agent/passthrough/announcements.go
@@ -1,6 +1,7 @@
 package passthrough
 
 import (
+	"math"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -20,6 +21,9 @@
 	MaxColdFor = 24 * time.Hour
 	// maxIDBytes bounds the ID of a backend server, which log lines contain.
 	maxIDBytes = 256
+	// maxSequence is the highest sequence number that an announcement may have: a backend
+	// server may count from any time in nanoseconds.
+	maxSequence = math.MaxInt64
 	// maxClockError is how far the VM's clock may be behind when it is compared with the
 	// start of a backend server on the same VM. The clock may jump by seconds.
 	maxClockError = time.Minute
@@ -141,7 +145,7 @@
 	switch {
 	case !a.isInRange():
 		return OutOfRange
-	case a.StartedUnixMillis > now.Add(maxClockError).UnixMilli():
+	case a.Sequence > maxSequence || a.StartedUnixMillis > now.Add(maxClockError).UnixMilli():
 		return OutOfOrder
 	case s.known && s.isStale(a):
 		return Stale
