Wait for an agent that restarts a second time

Cause: the directory may list an incarnation of the holder before the last one, as idle flows are not published again. While no incarnation runs, an agent compared the end of the listed incarnation with the time within which the next one may appear. That had long passed, so it took the backend server for dead. Change: what counts is the end of the incarnation that ended last. The member table knows it by name (MayReturn), so that balancers can use it as well.

--- a/arbutus-agent/passthrough/engine_test.go
+++ b/arbutus-agent/passthrough/engine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -272,7 +273,7 @@
 	r.fromCaller(data, 0)
 	g.Expect(r.forwarded).To(BeEmpty())
 	g.Expect(r.replied).To(BeEmpty())
-	r.engine.now = func() time.Time { return time.Now().Add(crashRestartTimeout) }
+	r.engine.now = func() time.Time { return time.Now().Add(member.CrashRestartTimeout) }
 	r.fromCaller(data, 0)
 	g.Expect(r.replied).To(HaveLen(1))
 }
@@ -294,6 +295,41 @@
 	g.Expect(r.forwarded[0].h.Marks.Has(capsule.MarkHolderKnown)).To(BeTrue())
 }
 
+// TestHolderRestartedTwice guards against resets of open flows while their agent restarts a
+// second time: the directory may still list the incarnation before, which ended long ago.
+func TestHolderRestartedTwice(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		end    func(member.Member) member.Member
+		resets time.Duration
+	}{
+		{"stopped", func(m member.Member) member.Member { return m.WithPhase(member.Left) }, member.PlannedRestartTimeout},
+		{"crashed", member.Member.WithDeath, member.CrashRestartTimeout},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g, r := NewWithT(t), newHarness(t)
+				r.engine.now = time.Now
+				r.start()
+				data := segment(1, ipv4.FlagACK, 2000, 6000, 50)
+				r.engine.Register(data.Key, 102)
+				first, second := agentMember("a-2", "south", 2), agentMember("a-2", "south", 2)
+				second.Instance = 500
+				r.node.Learn(first.WithPhase(member.Left))
+				r.node.Learn(second)
+				time.Sleep(time.Minute)
+				r.node.Learn(c.end(second))
+				time.Sleep(c.resets - time.Millisecond)
+				r.fromCaller(data, 0)
+				g.Expect(r.replied).To(BeEmpty(), "its next incarnation may still appear")
+				time.Sleep(time.Millisecond)
+				r.fromCaller(data, 0)
+				g.Expect(r.replied).To(HaveLen(1))
+			})
+		})
+	}
+}
+
 // TestInboundSYNACKDropped: a SYN-ACK that arrives from a caller's side must be dropped.
 func TestInboundSYNACKDropped(t *testing.T) {
 	g, r := NewWithT(t), newHarness(t)
--- a/arbutus-agent/passthrough/inbound.go
+++ b/arbutus-agent/passthrough/inbound.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"arbutusfront.dev/arbutus-agent/state"
-	"arbutusfront.dev/common/coordination/member"
 	"arbutusfront.dev/common/protocol/capsule"
 	"arbutusfront.dev/common/protocol/frame"
 	"arbutusfront.dev/common/protocol/ipv4"
@@ -13,15 +12,6 @@
 	"arbutusfront.dev/common/transport/datagram"
 )
 
-const (
-	// crashRestartTimeout is how long to wait for a new incarnation of a crashed agent,
-	// whose backend server may still be running. A restart takes about a second, most of
-	// which has passed when the crash is detected.
-	crashRestartTimeout = 500 * time.Millisecond
-	// plannedRestartTimeout is the same for an agent that was stopped as planned.
-	plannedRestartTimeout = 4 * time.Second
-)
-
 // handleSYN delivers a retransmitted SYN of a known flow, and reports this agent as the
 // holder if the backend server has sent a SYN-ACK. It admits, buffers, forwards or refuses a
 // new SYN; if that has the key of a known flow, the known flow is removed. e.mu must be held.
@@ -280,18 +270,12 @@
 }
 
 // isHolderDead reports whether an agent that is no longer a candidate has been gone without
-// a new incarnation for long enough to consider its backend server dead too. An instance that
-// the node does not know counts as dead.
+// a new incarnation for long enough to consider its backend server dead too. The instance may be
+// an earlier incarnation than the one that ended last. One that the node does not know counts as
+// dead.
 func (e *Engine) isHolderDead(instance uint64, now time.Time) bool {
 	m, ok := e.node.MemberOf(instance)
-	if !ok {
-		return true
-	}
-	timeout := crashRestartTimeout
-	if m.Phase == member.Left {
-		timeout = plannedRestartTimeout
-	}
-	return now.Sub(e.node.Table.EndedAt(m.ID())) >= timeout
+	return !ok || !e.node.Table.MayReturn(m.Name, now)
 }
 
 // returnUnclaimed returns a packet that no candidate claims to the balancer that first
--- a/common/coordination/member/table.go
+++ b/common/coordination/member/table.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -19,6 +20,12 @@
 	// retention is how long the record of an ended incarnation remains in the table. Without
 	// that record, late gossip would add the incarnation again as a live one.
 	retention = 10 * time.Minute
+
+	// CrashRestartTimeout is how long to wait for the next incarnation of a crashed process.
+	// A restart takes about a second, most of which has passed when the crash is detected.
+	CrashRestartTimeout = 500 * time.Millisecond
+	// PlannedRestartTimeout is the same for a process that was stopped as planned.
+	PlannedRestartTimeout = 4 * time.Second
 )
 
 type (
@@ -38,9 +45,11 @@
 
 	// Table contains the members that a process knows. It is safe for concurrent use.
 	Table struct {
-		mu         sync.Mutex
-		now        func() time.Time
-		entries    map[ID]entry
+		mu      sync.Mutex
+		now     func() time.Time
+		entries map[ID]entry
+		// lastEnded has the incarnation of each name that ended last.
+		lastEnded  map[string]entry
 		generation uint64
 		snapshot   *Snapshot
 		changed    chan struct{}
@@ -57,9 +66,10 @@
 // NewTable returns an empty table.
 func NewTable() *Table {
 	return &Table{
-		now:     time.Now,
-		entries: make(map[ID]entry),
-		changed: make(chan struct{}),
+		now:       time.Now,
+		entries:   make(map[ID]entry),
+		lastEnded: make(map[string]entry),
+		changed:   make(chan struct{}),
 	}
 }
 
@@ -75,6 +85,7 @@
 	e := entry{member: m}
 	if !m.Phase.Alive() {
 		e.endedAt = t.now()
+		t.lastEnded[m.Name] = e
 	}
 	t.entries[m.ID()] = e
 	t.recordChange()
@@ -97,11 +108,26 @@
 	return t.entries[id].endedAt
 }
 
+// MayReturn reports whether the next incarnation of the named process may still appear: the one
+// that ended last did so less than CrashRestartTimeout ago, or PlannedRestartTimeout if it had
+// left. It is false if no incarnation has ended.
+func (t *Table) MayReturn(name string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	last, ok := t.lastEnded[name]
+	timeout := CrashRestartTimeout
+	if last.member.Phase == Left {
+		timeout = PlannedRestartTimeout
+	}
+	return ok && now.Sub(last.endedAt) < timeout
+}
+
 // Expire removes the incarnations that ended longer ago than the retention time.
 func (t *Table) Expire() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	cutoff := t.now().Add(-retention)
+	maps.DeleteFunc(t.lastEnded, func(_ string, e entry) bool { return e.endedAt.Before(cutoff) })
 	before := len(t.entries)
 	for id, e := range t.entries {
 		if !e.member.Phase.Alive() && e.endedAt.Before(cutoff) {
