Don't reset flows whose agent has just ended and may return

Cause: a balancer that remembers the holder of a flow ignored the entry as soon as the agent had left or died. It sent the packet to other agents, removed the entry when none of them claimed the flow, and reset the flow at once as certainly lost. Change: while the next incarnation of the remembered agent may still appear, as agents assume it too, the balancer drops packets of the flow and keeps the entry. Callers retransmit them. That also keeps them away from backend servers that can't hold the flow.

--- a/arbutus-balancer/fabric/forwarder.go
+++ b/arbutus-balancer/fabric/forwarder.go
@@ -45,6 +45,7 @@
 	dropCutOff    ipv4.Reason = "cut_off"
 	dropUnclaimed ipv4.Reason = "unclaimed"
 	dropEndedRun  ipv4.Reason = "server_run_over"
+	dropAway      ipv4.Reason = "holder_away"
 )
 
 // contactCheckInterval is how often the forwarder checks that it is still in contact with
@@ -75,6 +76,9 @@
 		refused       tally.Counter
 		forwardedLate tally.Counter
 		discardedLate tally.Counter
+		// droppedAway counts packets that were returned as unclaimed while the flow's
+		// remembered agent may return.
+		droppedAway tally.Counter
 		// pending buffers packets that can't be forwarded yet; nil without WithPendingPackets.
 		pending *pendingPackets
 		// drops counts the dropped packets by reason.
@@ -112,7 +116,9 @@
 
 // WithPlacement makes the balancer choose agents for new flows by load, and remember the
 // holder of each flow.
-func WithPlacement() Option { return func(f *Forwarder) { f.placement = newPlacements(f.self.Domain) } }
+func WithPlacement() Option {
+	return func(f *Forwarder) { f.placement = newPlacements(f.self.Domain, f.node.Table.MayReturn) }
+}
 
 // Without switches off the features that concern the packet path. It must follow WithPlacement
 // and WithPendingPackets.
@@ -168,6 +174,7 @@
 		refused:       scope.Counter("flows_refused"),
 		forwardedLate: scope.Counter("packets_forwarded_after_waiting"),
 		discardedLate: scope.Counter("packets_dropped_after_waiting"),
+		droppedAway:   scope.Tagged(map[string]string{"reason": string(dropAway)}).Counter("packets_dropped"),
 		drops:         make(map[ipv4.Reason]tally.Counter),
 	}
 	for _, opt := range opts {
@@ -271,68 +278,6 @@
 	return capsule.AppendPacket(out, h, p.Bytes), to.agent.Packet, nil
 }
 
-// destination is the agent that a packet is forwarded to, and the marks of its capsule.
-type destination struct {
-	target *state.Target
-	agent  *placement.Candidate
-	marks  capsule.Marks
-}
-
-// findDestination returns where to forward the packet. With WithPlacement, it remembers
-// and logs the agent for a SYN, and resets the flow of any other packet if the flow's
-// backend server has restarted. Errors are of type ipv4.Reason.
-func (f *Forwarder) findDestination(
-	routes *state.Routes, route *state.Route, p frame.Frame, hash uint64,
-) (destination, error) {
-	switch {
-	case f.placement == nil:
-	case p.IsSYN():
-		d, ok := f.placement.place(route, p, hash)
-		if ok {
-			f.logPlaced(p, d)
-		}
-		return orNoAgent(d, ok)
-	default:
-		d, ended, ok := f.placement.locate(routes, p)
-		if ended {
-			f.resetEndedFlow(p)
-			return destination{}, dropEndedRun
-		}
-		if ok {
-			return d, nil
-		}
-	}
-	target, ok := f.firstTarget(routes, route, hash)
-	if !ok {
-		return destination{}, dropNoAgent
-	}
-	agent, ok := f.chooseByRank(target.Agents, p, hash)
-	return orNoAgent(destination{target: target, agent: agent, marks: capsule.MarkReportHolder}, ok)
-}
-
-// orNoAgent returns the destination, with the error dropNoAgent if ok is false.
-func orNoAgent(d destination, ok bool) (destination, error) {
-	if !ok {
-		return d, dropNoAgent
-	}
-	return d, nil
-}
-
-// chooseByRank returns the agent that ranks highest, for a SYN among those that admit
-// new flows if there are any. Otherwise, with WithPlacement, agents in the joining phase
-// come last: they may not know all flows of their backend servers yet.
-func (f *Forwarder) chooseByRank(agents *placement.Service, p frame.Frame, hash uint64) (*placement.Candidate, bool) {
-	if p.IsSYN() {
-		if c, ok := agents.FirstAdmitting(hash, nil); ok {
-			return c, true
-		}
-	}
-	if f.placement != nil {
-		return agents.FirstSettled(hash, nil)
-	}
-	return agents.First(hash, nil)
-}
-
 // refuse resets a flow to an endpoint without a route, and counts it as refused. Without
 // a configuration all endpoints are unknown, so no flow is reset.
 func (f *Forwarder) refuse(routes *state.Routes, p frame.Frame) {
--- a/arbutus-balancer/fabric/placement.go
+++ b/arbutus-balancer/fabric/placement.go
@@ -47,6 +47,9 @@
 		without   disabled
 		now       func() time.Time
 		unclaimed *unclaimed.Set
+		// mayReturn reports whether the next incarnation of an agent that has ended may
+		// still appear.
+		mayReturn func(agent string, now time.Time) bool
 
 		mu          sync.Mutex
 		flows       map[ipv4.FlowKey]*flowEntry
@@ -100,11 +103,12 @@
 	}
 )
 
-func newPlacements(domain string) *placements {
+func newPlacements(domain string, mayReturn func(agent string, now time.Time) bool) *placements {
 	return &placements{
 		domain:     domain,
 		now:        time.Now,
 		unclaimed:  unclaimed.New(),
+		mayReturn:  mayReturn,
 		flows:      make(map[ipv4.FlowKey]*flowEntry),
 		agentLoads: make(map[string]*agentLoad),
 
@@ -215,37 +219,41 @@
 }
 
 // locate returns the agent that is remembered for the packet's flow, if it is alive, and
-// records the packet. The agent may not have confirmed the flow yet. ended is set, and the
-// flow removed, if the backend server has restarted since it took the flow.
-func (p *placements) locate(routes *state.Routes, f frame.Frame) (d destination, ended, ok bool) {
+// records the packet. The agent may not have confirmed the flow yet. The flow is removed if the
+// backend server has restarted since it took the flow.
+func (p *placements) locate(routes *state.Routes, f frame.Frame) (destination, holderState) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	entry := p.flows[f.Key]
 	if entry == nil || p.without.rememberedFlows {
-		return destination{}, false, false
+		return destination{}, holderUnknown
 	}
 	t, known := routes.Target(entry.service)
 	if !known {
-		return destination{}, false, false
+		return destination{}, holderUnknown
 	}
 	c, alive := t.Agents.ByName(entry.agent)
+	if !alive && p.mayReturnTo(entry) {
+		entry.usedAt = p.now()
+		return destination{}, holderAway
+	}
 	if !alive {
-		return destination{}, false, false
+		return destination{}, holderUnknown
 	}
 	if p.hasEnded(entry, c) {
 		delete(p.flows, f.Key)
-		return destination{}, true, false
+		return destination{}, holderEnded
 	}
 	entry.usedAt = p.now()
 	entry.recordPacket(f)
-	d = destination{target: t, agent: c}
+	d := destination{target: t, agent: c}
 	if c.Instance != entry.instance || !entry.confirmed {
 		// This incarnation of the agent has not reported that it holds the flow.
 		// MarkReportHolder requests the report. MarkHolderKnown tells the agent that,
 		// by this balancer's records, its backend server has the flow.
 		d.marks = capsule.MarkReportHolder | capsule.MarkHolderKnown
 	}
-	return d, false, true
+	return d, holderAlive
 }
 
 // handleHeld records an agent's report that it holds a flow, and the load that the report
--- a/arbutus-balancer/fabric/remembered_test.go
+++ b/arbutus-balancer/fabric/remembered_test.go
@@ -141,7 +141,7 @@
 // that has many, and the check for restarted backend servers if none has restarted.
 func BenchmarkRemembered(b *testing.B) {
 	const flows = 200_000
-	p := newPlacements("north")
+	p := newPlacements("north", func(string, time.Time) bool { return false })
 	for i := range flows {
 		p.flows[keyOfFlow(i)] = &flowEntry{agent: "agent", serverRun: 1, acknowledged: 1, usedAt: p.now()}
 	}
--- a/arbutus-balancer/fabric/unclaimed.go
+++ b/arbutus-balancer/fabric/unclaimed.go
@@ -43,7 +43,8 @@
 // HandleUnclaimed handles a packet that no queried agent of a service claimed. It forwards
 // the packet to an agent of the next service that may have the flow. Once no service is
 // left to query, it resets the flow, after a delay if an agent may hold it after all. A
-// flow to an endpoint without a route is reset at once. Without a configuration, the
+// flow to an endpoint without a route is reset at once. A packet is dropped while the
+// flow's remembered agent may still return. Without a configuration, the
 // agents are queried one by one, and no flow is reset. HandleUnclaimed has no effect
 // without WithPlacement.
 func (f *Forwarder) HandleUnclaimed(h capsule.Header, packet []byte) {
@@ -62,6 +63,10 @@
 		f.refuse(routes, p)
 		return
 	}
+	if f.placement.holderIsAway(routes, p.Key) {
+		f.droppedAway.Inc(1)
+		return
+	}
 	hash := placement.FlowHash(p.Key)
 	if !route.AllTargetsHaveAgents() {
 		h.Marks |= capsule.MarkUncertain
