Repeat queries on another connection if one has become silent

Cause: a silent HTTP/2 connection stayed in use until a ping timed out after 12 s. A call that timed out after 3 s left it in use, so every further call for the agent's view hung on it as well. Change: a connection is closed if a call on it has timed out and nothing was received on it since the call. Queries between processes have a first attempt of 0.7 s, and are repeated once. A connection whose peer responds to other calls remains.

--- a/common/coordination/peer/peer.go
+++ b/common/coordination/peer/peer.go
@@ -26,7 +26,12 @@
 	"arbutusfront.dev/common/protocol/gen/arbutus/control/v1/controlv1connect"
 )
 
-const callTimeout = 3 * time.Second
+const (
+	callTimeout = 3 * time.Second
+	// attemptTimeout bounds the first attempt of a query. A second one is made on another
+	// connection if the peer has sent nothing: a connection may be silent for good.
+	attemptTimeout = 700 * time.Millisecond
+)
 
 // Error is the class of this package's errors.
 var Error = errs.Class("peer")
@@ -45,21 +50,21 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	rpc := c.peer(at)
-	response, err := rpc.GetHead(ctx, connect.NewRequest(known.HeadRequest()))
+	response, err := query(ctx, rpc.GetHead, known.HeadRequest())
 	if err != nil {
-		return nil, Error.Wrap(err)
+		return nil, err
 	}
-	head, err := known.RestoreHead(response.Msg)
+	head, err := known.RestoreHead(response)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
 	values := [][]byte{}
 	if missing := known.Missing(head); len(missing) > 0 {
-		chunks, err := rpc.GetChunks(ctx, connect.NewRequest(&controlv1.GetChunksRequest{Digests: missing}))
+		chunks, err := query(ctx, rpc.GetChunks, &controlv1.GetChunksRequest{Digests: missing})
 		if err != nil {
-			return nil, Error.Wrap(err)
+			return nil, err
 		}
-		values = chunks.Msg.GetChunks()
+		values = chunks.GetChunks()
 	}
 	if known != nil {
 		values = append(values, known.Values()...)
@@ -72,23 +77,22 @@
 func (c *Client) Members(ctx context.Context, at netip.AddrPort, digests []uint64) ([]member.Member, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	r := connect.NewRequest(&controlv1.SyncMembersRequest{BucketDigests: digests})
-	response, err := c.peer(at).SyncMembers(ctx, r)
+	response, err := query(ctx, c.peer(at).SyncMembers, &controlv1.SyncMembersRequest{BucketDigests: digests})
 	if err != nil {
-		return nil, Error.Wrap(err)
+		return nil, err
 	}
-	return decodeAll(response.Msg.GetMembers()), nil
+	return decodeAll(response.GetMembers()), nil
 }
 
 // View returns the balancer's view of the named service.
 func (c *Client) View(ctx context.Context, at netip.AddrPort, service string) (View, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	response, err := c.peer(at).GetView(ctx, connect.NewRequest(&controlv1.GetViewRequest{Service: service}))
+	response, err := query(ctx, c.peer(at).GetView, &controlv1.GetViewRequest{Service: service})
 	if err != nil {
-		return View{}, Error.Wrap(err)
+		return View{}, err
 	}
-	return decodeView(response.Msg)
+	return decodeView(response)
 }
 
 // Push sends an accepted revision to the balancer and returns the revision number that the
@@ -114,12 +118,11 @@
 func (c *Client) Ledger(ctx context.Context, at netip.AddrPort, maxBytes int) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	request := connect.NewRequest(&controlv1.GetLedgerRequest{MaxBytes: uint32(maxBytes)})
-	response, err := c.peer(at).GetLedger(ctx, request)
+	response, err := query(ctx, c.peer(at).GetLedger, &controlv1.GetLedgerRequest{MaxBytes: uint32(maxBytes)})
 	if err != nil {
-		return nil, Error.Wrap(err)
+		return nil, err
 	}
-	return response.Msg.GetLedger(), nil
+	return response.GetLedger(), nil
 }
 
 // Status returns the state of all members. The balancer merges its own observations with
@@ -146,6 +149,23 @@
 	return response.Msg.GetJson(), nil
 }
 
+// query makes a call that changes nothing, and repeats it once if the peer doesn't respond within
+// attemptTimeout.
+func query[Q, R any](
+	ctx context.Context, call func(context.Context, *connect.Request[Q]) (*connect.Response[R], error), request *Q,
+) (*R, error) {
+	attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	response, err := call(attempt, connect.NewRequest(request))
+	if connect.CodeOf(err) == connect.CodeDeadlineExceeded && ctx.Err() == nil {
+		response, err = call(ctx, connect.NewRequest(request))
+	}
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return response.Msg, nil
+}
+
 func (c *Client) peer(at netip.AddrPort) controlv1connect.PeerServiceClient {
 	return controlv1connect.NewPeerServiceClient(c.http, url(at))
 }
--- a/common/transport/network/network.go
+++ b/common/transport/network/network.go
@@ -55,11 +55,21 @@
 }
 
 // HTTP2Client returns an HTTP/2 client without TLS. One connection carries all concurrent
-// requests to a peer.
+// requests to a peer. It is closed if a request on it was canceled or timed out, and the peer has
+// sent nothing since the request.
 func (n Network) HTTP2Client() *http.Client {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Client{Transport: n.transport(protocols)}
+	t := n.transport(protocols)
+	dial := t.DialContext
+	t.DialContext = func(ctx context.Context, network, to string) (net.Conn, error) {
+		c, err := dial(ctx, network, to)
+		if err != nil {
+			return nil, err
+		}
+		return &trackedConn{Conn: c}, nil
+	}
+	return &http.Client{Transport: silenceCloser{t}}
 }
 
 // HTTP1Client returns an HTTP/1.1 client without TLS.
