--- a/arbutus-balancer/fabric/destination.go
+++ b/arbutus-balancer/fabric/destination.go
@@ -34,8 +34,9 @@
 )
 
 // findDestination returns where to forward the packet. With WithPlacement, it remembers
-// and logs the agent for a SYN, and resets the flow of any other packet if the flow's
-// backend server has restarted. Errors are of type ipv4.Reason.
+// and logs the agent for a SYN. For any other packet it returns an error while the flow's
+// agent is away, and resets the flow if the flow's backend server has restarted. Errors are of
+// type ipv4.Reason.
 func (f *Forwarder) findDestination(
 	routes *state.Routes, route *state.Route, p frame.Frame, hash uint64,
 ) (destination, error) {
@@ -107,7 +108,7 @@
 	return !alive && p.mayReturnTo(e)
 }
 
-// mayReturnTo reports whether the entry names a holder, whose agent is not alive, and that agent
+// mayReturnTo reports whether the entry names a holder and the holder's agent, which is not alive,
 // may return. An entry that no agent has confirmed, in this run of the balancer or the one
 // before, names no holder. mu must be held.
 func (p *placements) mayReturnTo(e *flowEntry) bool {
