Close a connection only after a time-out, not after a cancellation

What callers could see: a canceled call closed the connection that carried other calls to the same process, which then failed and were repeated. Cause: took a call that ended before anything was received as a sign of silence, also if its caller had canceled it at once. Change: only calls that timed out count. Measurement: TestCanceledRequestClosesNoConnection failed before.

--- a/common/transport/network/network.go
+++ b/common/transport/network/network.go
@@ -55,8 +55,8 @@
 }
 
 // HTTP2Client returns an HTTP/2 client without TLS. One connection carries all concurrent
-// requests to a peer. It is closed if a request on it was canceled or timed out, and the peer has
-// sent nothing since the request.
+// requests to a peer. It is closed if a request on it timed out, and the peer has sent nothing
+// since the request.
 func (n Network) HTTP2Client() *http.Client {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
--- a/common/transport/network/silent.go
+++ b/common/transport/network/silent.go
@@ -1,6 +1,8 @@
 package network
 
 import (
+	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -10,8 +12,8 @@
 
 type (
 	// silenceCloser makes the requests of an HTTP client. It closes the connection of a
-	// request that was canceled or timed out if the peer has sent nothing on it since. Such a
-	// connection may be silent for good, and would otherwise carry the next requests too.
+	// request that timed out if the peer has sent nothing on it since. Such a connection may
+	// be silent for good, and would otherwise carry the next requests too.
 	silenceCloser struct {
 		*http.Transport
 	}
@@ -33,7 +35,8 @@
 	}})
 	sent := time.Now()
 	response, err := s.Transport.RoundTrip(r.WithContext(ctx))
-	if c := used.Load(); c != nil && err != nil && ctx.Err() != nil && !c.hasReadSince(sent) {
+	timedOut := err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded)
+	if c := used.Load(); timedOut && c != nil && !c.hasReadSince(sent) {
 		_ = c.Close()
 	}
 	return response, err
--- a/common/transport/network/silent_test.go
+++ b/common/transport/network/silent_test.go
@@ -121,3 +121,21 @@
 	g.Expect(get(t.Context(), c, s.URL, time.Second)).To(Succeed())
 	g.Expect(d.count()).To(Equal(1))
 }
+
+// TestCanceledRequestClosesNoConnection guards against calls that fail because another one on the
+// same connection was canceled before its response could arrive.
+func TestCanceledRequestClosesNoConnection(t *testing.T) {
+	g, s := NewWithT(t), newServer(t)
+	d := new(dials)
+	c := d.network().HTTP2Client()
+	defer c.CloseIdleConnections()
+	g.Expect(get(t.Context(), c, s.URL, time.Second)).To(Succeed())
+	ctx, cancel := context.WithCancel(t.Context())
+	canceled := make(chan error, 1)
+	go func() { canceled <- get(ctx, c, s.URL+"/slow", time.Second) }()
+	time.Sleep(100 * time.Millisecond)
+	cancel()
+	g.Expect(<-canceled).To(MatchError(context.Canceled))
+	g.Expect(get(t.Context(), c, s.URL, time.Second)).To(Succeed())
+	g.Expect(d.count()).To(Equal(1))
+}
