review: case 10, an odd heartbeat resets the flows of the true backend server

Cause: a heartbeat that lacks zone, version and cold-remaining-ms is taken for one of a later run of the backend server. Change: a script; the stand-ins of case 9 are split for it. No code is changed.

--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -33,6 +33,8 @@
 		ports               ports
 		machines            []*machine
 		seeds               []string
+		// onOpened is called when the end of a flow's handshake reaches a backend server.
+		onOpened func(caller netip.AddrPort, server string)
 	}
 )
 
@@ -162,12 +164,19 @@
 	outbound := net.UDPAddrFromAddrPort(netip.MustParseAddrPort(f.at(m, f.ports.outbound)))
 	go func() {
 		b := make([]byte, 2048)
+		// opening has the acknowledgments that end the handshakes.
+		opening := make(map[netip.AddrPort]uint32)
 		for {
 			n, _, err := u.ReadFrom(b)
 			if err != nil {
 				return
 			}
-			if p, ok := parsePacket(b[:n]); ok && p.flags == flagSYN {
+			p, ok := parsePacket(b[:n])
+			switch {
+			case ok && p.flags == flagACK && opening[p.src] == p.ack:
+				f.onOpened(p.src, m.name)
+			case ok && p.flags == flagSYN:
+				opening[p.src] = (p.seq ^ 0x5bd1e995) + 1
 				answer := packet{seq: p.seq ^ 0x5bd1e995, ack: p.seq + 1, dst: p.src, src: p.dst, flags: flagSYN | flagACK}
 				_, _ = u.WriteTo(answer.bytes(), outbound)
 			}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -48,6 +48,8 @@
 	switch os.Args[1] {
 	case "config-storm":
 		code = configStorm(os.Args[2], rec, os.Getenv("TROUBLE") != "0")
+	case "foreign-heartbeat":
+		code = foreignHeartbeat(os.Args[2], rec, os.Getenv("TROUBLE") != "0")
 	default:
 		rec.printf("there is no case %q", os.Args[1])
 	}
--- a/review/standin-2/storm.go
+++ b/review/standin-2/storm.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
-	"os"
 	"sync"
 	"time"
 )
@@ -69,6 +68,8 @@
 	mu      sync.Mutex
 	answers map[uint16]chan packet
 	port    uint16
+	// onReset is called with each reset that arrives.
+	onReset func(packet)
 }
 
 func newClient(address string, port int) (*client, error) {
@@ -76,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &client{conn: conn, address: netip.MustParseAddr(address), answers: make(map[uint16]chan packet), port: 1024}
+	c := &client{conn: conn, address: netip.MustParseAddr(address), answers: make(map[uint16]chan packet), port: 1024, onReset: func(packet) {}}
 	go func() {
 		b := make([]byte, 2048)
 		for {
@@ -88,6 +89,9 @@
 			c.mu.Lock()
 			answer := c.answers[p.dst.Port()]
 			c.mu.Unlock()
+			if ok && p.flags&flagRST != 0 {
+				c.onReset(p)
+			}
 			if ok && answer != nil {
 				select {
 				case answer <- p:
@@ -99,9 +103,31 @@
 	return c, nil
 }
 
-// open tries to open a flow to the route through the balancer at the address: a SYN, and copies of it
-// after 200 and 600 ms. It returns "opened", "reset" or "no answer". An opened flow is closed by a reset.
+// open tries to open a flow to the route through the balancer at the address, and returns "opened",
+// "reset" or "no answer". An opened flow is closed by a reset of the client.
 func (c *client) open(front, route string) string {
+	end, result := c.handshake(front, route)
+	if result == "opened" {
+		end.flags = flagACK | flagRST
+		c.send(end, front)
+	}
+	return result
+}
+
+// keepOpen is open for a flow that stays open. It also returns the flow's address and port at the
+// client.
+func (c *client) keepOpen(front, route string) (netip.AddrPort, string) {
+	end, result := c.handshake(front, route)
+	return end.src, result
+}
+
+func (c *client) send(p packet, front string) {
+	_, _ = c.conn.WriteTo(p.bytes(), net.UDPAddrFromAddrPort(netip.MustParseAddrPort(front)))
+}
+
+// handshake sends a SYN, and copies of it after 200 and 600 ms, and acknowledges the first SYN+ACK.
+// It returns the acknowledgment.
+func (c *client) handshake(front, route string) (packet, string) {
 	answer := make(chan packet, 4)
 	c.mu.Lock()
 	c.port++
@@ -113,108 +139,36 @@
 		delete(c.answers, port)
 		c.mu.Unlock()
 	}()
-	to := net.UDPAddrFromAddrPort(netip.MustParseAddrPort(front))
 	syn := packet{seq: rand.Uint32(), dst: netip.MustParseAddrPort(route), src: netip.AddrPortFrom(c.address, port), flags: flagSYN}
 	for _, pause := range []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond} {
-		_, _ = c.conn.WriteTo(syn.bytes(), to)
+		c.send(syn, front)
 		syn.ack++
 		select {
 		case p := <-answer:
 			if p.flags&flagRST != 0 {
-				return "reset"
+				return syn, "reset"
 			}
 			end := packet{seq: syn.seq + 1, ack: p.seq + 1, dst: syn.dst, src: syn.src, flags: flagACK}
-			_, _ = c.conn.WriteTo(end.bytes(), to)
-			end.flags = flagACK | flagRST
-			_, _ = c.conn.WriteTo(end.bytes(), to)
-			return "opened"
+			c.send(end, front)
+			return end, "opened"
 		case <-time.After(pause):
 		}
 	}
-	return "no answer"
+	return syn, "no answer"
 }
 
 // configStorm writes configurations in quick succession, right after all open connections to the
 // store have gone silent. Rule CONFIG: a request sent more than 3 s after the acknowledgment of a
 // version is not refused although that version has its route.
 func configStorm(program string, rec *recorder, trouble bool) int {
-	dir, err := os.MkdirTemp("", "standin-2-")
-	if err != nil {
-		rec.printf("%v", err)
-		return 2
-	}
-	defer os.RemoveAll(dir)
-	f := &fleet{dir: dir, program: program}
-	for i, zone := range zones {
-		f.machines = append(f.machines, &machine{
-			name: fmt.Sprintf("front-%s-%d", zone, i), zone: zone, class: "front", address: fmt.Sprintf("127.0.0.%d", 11+i),
-		})
-	}
-	for i, zone := range zones {
-		f.machines = append(f.machines, &machine{
-			name: fmt.Sprintf("side-%s-%d", zone, i), zone: zone, class: "side", address: fmt.Sprintf("127.0.0.%d", 31+i),
-		})
-	}
-	const clientAddress, storeAddress, proxyAddress = "127.0.0.21", "127.0.0.9", "127.0.0.8"
-	addresses := []string{clientAddress}
-	for _, m := range f.machines {
-		addresses = append(addresses, m.address)
-	}
-	taken := make(map[int]bool)
-	for _, p := range []*int{
-		&f.ports.packets, &f.ports.readiness, &f.ports.control, &f.ports.outbound, &f.ports.app, &f.ports.internal,
-	} {
-		if *p = freePort(addresses, taken); *p == 0 {
-			rec.printf("no free port")
-			return 2
-		}
-	}
-	s := newStore()
-	s.onWatch = func(events, bytes int) {
-		if bytes > 1<<20 {
-			rec.printf("store: a watch is answered with %d events, %d bytes", events, bytes)
-		}
-	}
-	storeListener, err := net.Listen("tcp", storeAddress+":0")
+	d, err := deploy(program, rec)
 	if err != nil {
 		rec.printf("%v", err)
 		return 2
 	}
-	proxyListener, err := net.Listen("tcp", proxyAddress+":0")
-	if err != nil {
-		rec.printf("%v", err)
-		return 2
-	}
-	go serveHTTP(storeListener, s.handler())
-	p := newProxy(proxyListener, storeListener.Addr().String())
-	f.store = proxyListener.Addr().String()
-	for _, m := range f.fronts()[:3] {
-		f.seeds = append(f.seeds, f.at(m, f.ports.control))
-	}
-	version := 7
-	s.put("op/config", document(version, 0))
-	rec.printf("operator: version %d, %d bytes", version, len(document(version, 0)))
-	c, err := newClient(clientAddress, f.ports.packets)
-	if err != nil {
-		rec.printf("%v", err)
-		return 2
-	}
-	for _, m := range f.machines {
-		if m.class == "side" {
-			if err := f.serveBackend(m); err != nil {
-				rec.printf("%v", err)
-				return 2
-			}
-		}
-	}
-	defer f.stop()
-	if err := f.start(); err != nil {
-		rec.printf("%v", err)
-		return 2
-	}
-	if !waitReady(f, c, rec) {
-		return 2
-	}
+	defer d.close()
+	f, s, c, p := d.fleet, d.store, d.client, d.proxy
+	version := firstVersion
 	time.Sleep(settleTime)
 
 	// The storm's first change makes all watches start again.
@@ -270,21 +224,3 @@
 	}
 	return 0
 }
-
-// waitReady waits until all balancers are ready and open flows.
-func waitReady(f *fleet, c *client, rec *recorder) bool {
-	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-		ready := 0
-		for _, m := range f.fronts() {
-			if f.isReady(m) && c.open(f.at(m, f.ports.packets), baseRoute) == "opened" {
-				ready++
-			}
-		}
-		if ready == len(f.fronts()) {
-			rec.printf("all %d balancers are ready and open flows", ready)
-			return true
-		}
-	}
-	rec.printf("the balancers don't open flows")
-	return false
-}
