--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -6,11 +6,17 @@
 	"net"
 	"net/netip"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
-// firstVersion is the version of the configuration with which the deployment starts.
-const firstVersion = 7
+const (
+	// firstVersion is the version of the configuration with which the deployment starts.
+	firstVersion = 7
+	// maxRunTime is below the 120 s that a script may run.
+	maxRunTime = 110 * time.Second
+)
 
 // deployment is a small deployment that is ready: three balancers and three agents, each with a
 // backend server, in three zones.
@@ -36,6 +42,7 @@
 	}
 	d := &deployment{dir: dir, handshakes: &handshakes{held: make(map[netip.AddrPort]string)}}
 	d.fleet = &fleet{dir: dir, program: program, onOpened: d.handshakes.record}
+	go d.endEarly(rec)
 	if err := d.start(rec); err != nil {
 		d.close()
 		return nil, err
@@ -43,6 +50,19 @@
 	return d, nil
 }
 
+// endEarly ends the processes and this one on a signal, or after maxRunTime.
+func (d *deployment) endEarly(rec *recorder) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	select {
+	case <-signals:
+	case <-time.After(maxRunTime):
+	}
+	d.close()
+	rec.printf("ended early")
+	os.Exit(2)
+}
+
 func (d *deployment) start(rec *recorder) error {
 	f := d.fleet
 	for i, zone := range zones {
