Reject announcements that lack a field, as only another writer's do

Cause: the readers of announcements required only the fields that they use. An announcement of another writer was therefore taken for the start of a later run, which ends the flows of the run in force. The product's own API took each missing field for a zero.

The error names what is missing. The odd announcements of the soak contain all fields, so that they still reach the checks they were made for; a new one lacks a field.

--- a/arbutus-agent/passthrough/serve/announce.go
+++ b/arbutus-agent/passthrough/serve/announce.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/go-json-experiment/json"
@@ -10,6 +11,7 @@
 
 	"arbutusfront.dev/arbutus-agent/passthrough"
 	"arbutusfront.dev/common/protocol/number"
+	"arbutusfront.dev/common/protocol/strictjson"
 )
 
 const (
@@ -23,15 +25,27 @@
 	maxErrorBytes = 200
 )
 
-// AnnouncementBody is the body of an announcement, which a backend server sends to its
-// agent's control address.
-type AnnouncementBody struct {
-	StartedUnixMillis int64  `json:"born_unix_millis"`
-	Sequence          uint64 `json:"sequence"`
-	Draining          bool   `json:"draining"`
-	ColdMillis        int64  `json:"cold_millis"`
-	Slots             int    `json:"slots"`
-}
+type (
+	// AnnouncementBody is the body of an announcement, which a backend server sends to its
+	// agent's control address.
+	AnnouncementBody struct {
+		StartedUnixMillis int64  `json:"born_unix_millis"`
+		Sequence          uint64 `json:"sequence"`
+		Draining          bool   `json:"draining"`
+		ColdMillis        int64  `json:"cold_millis"`
+		Slots             int    `json:"slots"`
+	}
+
+	// receivedBody is an AnnouncementBody of which fields may be missing, as in one that
+	// another writer sent.
+	receivedBody struct {
+		StartedUnixMillis *int64  `json:"born_unix_millis"`
+		Sequence          *uint64 `json:"sequence"`
+		Draining          *bool   `json:"draining"`
+		ColdMillis        *int64  `json:"cold_millis"`
+		Slots             *int    `json:"slots"`
+	}
+)
 
 // registerAnnouncements registers the handlers for the backend server's announcements.
 func (s *Server) registerAnnouncements(mux *http.ServeMux) {
@@ -55,26 +69,29 @@
 func shorten(s string) string { return s[:min(len(s), maxErrorBytes)] }
 
 // readAnnouncement returns the announcement with the body that r contains, without an ID. It
-// returns an error if the body can't be decoded or the warm-up time is out of range; the record
-// of the backend server checks the other numbers.
+// returns an error if the body can't be decoded, lacks a field or the warm-up time is out of range;
+// the record of the backend server checks the other numbers.
 func readAnnouncement(r io.Reader) (passthrough.Announcement, error) {
 	b, err := io.ReadAll(io.LimitReader(r, maxAnnouncementBytes))
 	if err != nil {
 		return passthrough.Announcement{}, Error.Wrap(err)
 	}
-	var body AnnouncementBody
+	var body receivedBody
 	if err := json.Unmarshal(b, &body, json.RejectUnknownMembers(true)); err != nil {
 		return passthrough.Announcement{}, Error.Wrap(err)
 	}
-	cold, err := number.Duration(float64(body.ColdMillis), time.Millisecond, passthrough.MaxColdFor)
+	if missing := strictjson.Missing(body); len(missing) > 0 {
+		return passthrough.Announcement{}, Error.New("announcement lacks %s", strings.Join(missing, ", "))
+	}
+	cold, err := number.Duration(float64(*body.ColdMillis), time.Millisecond, passthrough.MaxColdFor)
 	if err != nil {
 		return passthrough.Announcement{}, Error.New("cold_millis: %w", err)
 	}
 	return passthrough.Announcement{
-		StartedUnixMillis: body.StartedUnixMillis,
-		Sequence:          body.Sequence,
-		Draining:          body.Draining,
+		StartedUnixMillis: *body.StartedUnixMillis,
+		Sequence:          *body.Sequence,
+		Draining:          *body.Draining,
 		ColdFor:           cold,
-		Slots:             body.Slots,
+		Slots:             *body.Slots,
 	}, nil
 }
--- a/arbutus-agent/passthrough/serve/announce_test.go
+++ b/arbutus-agent/passthrough/serve/announce_test.go
@@ -1,10 +1,13 @@
 package serve
 
 import (
+	"bytes"
+	"maps"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/go-json-experiment/json"
 	. "github.com/onsi/gomega"
 
 	"arbutusfront.dev/arbutus-agent/passthrough"
@@ -28,3 +31,26 @@
 		g.Expect(err).To(HaveOccurred(), bad)
 	}
 }
+
+// TestIncompleteAnnouncementIsNotRead guards against an announcement that lacks a field, as only
+// another writer's does, and is read with a zero in its place: a later start ends the flows of the
+// true run.
+func TestIncompleteAnnouncementIsNotRead(t *testing.T) {
+	g := NewWithT(t)
+	complete := map[string]any{
+		"born_unix_millis": 1_700_000_000_000, "sequence": 3, "draining": false, "cold_millis": 0, "slots": 4,
+	}
+	for field := range complete {
+		for name, change := range map[string]func(map[string]any){
+			"missing": func(body map[string]any) { delete(body, field) },
+			"null":    func(body map[string]any) { body[field] = nil },
+		} {
+			body := maps.Clone(complete)
+			change(body)
+			b, err := json.Marshal(body)
+			g.Expect(err).NotTo(HaveOccurred())
+			_, err = readAnnouncement(bytes.NewReader(b))
+			g.Expect(err).To(MatchError(ContainSubstring(field)), name)
+		}
+	}
+}
--- a/arbutus-lab/soak/odd.go
+++ b/arbutus-lab/soak/odd.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"math"
@@ -21,15 +20,30 @@
 	oddCallTimeout = time.Second
 )
 
-// oddAnnouncements are the bodies of announcements in a backend server's name that another writer
-// sends, by the variant of the event.
-var oddAnnouncements = map[string]string{
-	"nested":    `{"slots": ` + strings.Repeat("[", oddDepth) + strings.Repeat("]", oddDepth) + `}`,
-	"born":      fmt.Sprintf(`{"born_unix_millis": %d, "sequence": 1, "draining": true, "slots": 1}`, math.MaxInt64),
-	"sequence":  `{"born_unix_millis": 1, "sequence": 18446744073709551615, "draining": true, "slots": 1}`,
-	"slots":     fmt.Sprintf(`{"born_unix_millis": 1, "sequence": 1, "slots": %d}`, math.MaxInt64),
-	"cold":      fmt.Sprintf(`{"born_unix_millis": 1, "sequence": 1, "cold_millis": %d}`, math.MaxInt64),
-	"no_number": `{"sequence": 1e999}`,
+// oddAnnouncements return the bodies of announcements in a backend server's name that another
+// writer sends at a time, by the variant of the event.
+var oddAnnouncements = map[string]func(now time.Time) string{
+	"nested":    func(time.Time) string { return nestedBody },
+	"born":      func(time.Time) string { return drainingBody(math.MaxInt64, 1, 0, 1) },
+	"sequence":  func(time.Time) string { return drainingBody(1, math.MaxUint64, 0, 1) },
+	"slots":     func(time.Time) string { return drainingBody(1, 1, 0, math.MaxInt64) },
+	"cold":      func(time.Time) string { return drainingBody(1, 1, math.MaxInt64, 1) },
+	"no_number": func(time.Time) string { return `{"sequence": 1e999}` },
+	// With the missing field it would be the first announcement of a new run.
+	"incomplete": func(now time.Time) string {
+		return fmt.Sprintf(
+			`{"born_unix_millis": %d, "sequence": 1, "draining": false, "slots": 1}`, now.UnixMilli())
+	},
+}
+
+// nestedBody is the body of an announcement that is nested deeply.
+var nestedBody = `{"slots": ` + strings.Repeat("[", oddDepth) + strings.Repeat("]", oddDepth) + `}`
+
+// drainingBody returns the body of a draining backend server's announcement that lacks no field.
+func drainingBody(born int64, sequence uint64, cold, slots int64) string {
+	return fmt.Sprintf(
+		`{"born_unix_millis": %d, "sequence": %d, "draining": true, "cold_millis": %d, "slots": %d}`,
+		born, sequence, cold, slots)
 }
 
 // announceOddly sends an odd announcement to the target's agent, in the name of its backend server.
@@ -38,7 +52,8 @@
 	call, cancel := context.WithTimeout(ctx, oddCallTimeout)
 	defer cancel()
 	url := "http://" + h.cluster.ControlAddress(e.Target).String() + "/announcements/" + e.Target
-	r, err := http.NewRequestWithContext(call, http.MethodPut, url, bytes.NewReader([]byte(oddAnnouncements[e.How])))
+	body := oddAnnouncements[e.How](time.Now())
+	r, err := http.NewRequestWithContext(call, http.MethodPut, url, strings.NewReader(body))
 	if err != nil {
 		return err
 	}
@@ -64,7 +79,7 @@
 		kvstore.PrefixChunk + "odd",
 		kvstore.DomainLedgers(h.targets.domains[0]) + "odd",
 	} {
-		swap, err := s.CompareAndSwap(ctx, kvstore.Write{Key: key, Value: []byte(oddAnnouncements["nested"])})
+		swap, err := s.CompareAndSwap(ctx, kvstore.Write{Key: key, Value: []byte(nestedBody)})
 		if err != nil {
 			return err
 		}
