Doubt deaths that are reported by who can't know of them

Cause: the part that is cut off declares all others dead. After the cut the deaths spread to balancers that are in contact with the members, and held until a monitor of each member had fetched them.

Change: the death of a member of another failure domain, reported by a third one, is not believed while this balancer is in contact with the member's. The death of a member of this failure domain goes to its monitors instead, so that the member refutes it. A balancer that had counted as dead and is back is told which members of its failure domain count as dead, and its table is fetched. Deaths that a member's own monitors declare are believed as fast as before.

--- a/arbutus-balancer/balancer/gossip.go
+++ b/arbutus-balancer/balancer/gossip.go
@@ -129,7 +129,7 @@
 		return
 	}
 	p.node.RecordContact(sender.Domain, p.now())
-	p.learnFromPeer(sender)
+	p.learnSender(sender, false)
 	if known, ok := p.node.Table.Get(sender.ID()); ok && !known.Phase.Alive() {
 		// The sender was cut off or paused. Its reports on other members are ignored
 		// until it has announced a later version of itself.
@@ -141,7 +141,7 @@
 		if err != nil {
 			continue
 		}
-		p.learnFromPeer(m)
+		p.learnReport(m, sender)
 	}
 	p.queuePull(pull{
 		from:     sender,
@@ -150,16 +150,6 @@
 	})
 }
 
-// learnFromPeer merges a member that another balancer reports, and spreads it within this
-// failure domain if it is a change. A report on this balancer itself is ignored here: if it is
-// wrong, the announcer refutes it when the next heartbeat is acknowledged.
-func (p *Peers) learnFromPeer(m member.Member) {
-	if m.ID() == p.announcer.Self().ID() {
-		return
-	}
-	p.learn(m, false)
-}
-
 // queuePull queues a pull if there is anything to pull. It drops the pull if the queue is
 // full, as the next gossip message triggers it again.
 func (p *Peers) queuePull(r pull) {
@@ -226,7 +216,9 @@
 	}
 	for _, m := range members {
 		// Other balancers compare digests too, so these changes are not spread again.
-		if m.ID() != p.announcer.Self().ID() {
+		if p.isDoubtful(m, from) {
+			p.learnReport(m, from)
+		} else if m.ID() != p.announcer.Self().ID() {
 			p.merge(m)
 		}
 	}
--- a/arbutus-balancer/balancer/learn.go
+++ b/arbutus-balancer/balancer/learn.go
@@ -26,19 +26,42 @@
 	return true
 }
 
+// learnSender merges the record of a balancer that has sent a message, and spreads it if it is a
+// change. If the balancer counted as dead, the tables are reconciled.
+func (p *Peers) learnSender(m member.Member, firstHand bool) bool {
+	if m.ID() == p.announcer.Self().ID() {
+		return false
+	}
+	before, _ := p.node.Table.Get(m.ID())
+	changed := p.learn(m, firstHand)
+	if changed && m.Role == member.Balancer && before.Phase == member.Dead && m.Phase.Alive() {
+		p.reconcile(m)
+	}
+	return changed
+}
+
+// learnReport merges a member that the sender reports, and spreads it within this failure domain
+// if it is a change. A report on this balancer itself is ignored here: if it is wrong, the
+// announcer refutes it when the next heartbeat is acknowledged. A death that the sender can't know
+// is passed to the member's monitors if they are in this failure domain, so that the member
+// refutes it.
+func (p *Peers) learnReport(m, sender member.Member) {
+	switch {
+	case m.ID() == p.announcer.Self().ID():
+	case !p.isDoubtful(m, sender):
+		p.learn(m, false)
+	case m.Domain == p.announcer.Self().Domain && !p.dispute(m):
+		p.spread([]member.Member{m}, p.otherMonitors(p.node.Table.Snapshot().Monitors(m)))
+	}
+}
+
 // merge merges a member into the table and reports whether it is a change. The death of
 // a member whose heartbeats this balancer still receives is rejected and recorded as
 // disputedVersions: it may have been declared in a part of the deployment that was cut off. The
 // acknowledgment of the member's next heartbeat says so, and the member announces a
 // later version.
 func (p *Peers) merge(m member.Member) bool {
-	if m.Phase == member.Dead && p.hasRecentHeartbeat(m) {
-		p.mu.Lock()
-		p.disputedVersions[m.ID()] = m.Version
-		p.mu.Unlock()
-		return false
-	}
-	if !p.node.Table.Merge(m) {
+	if m.Phase == member.Dead && p.dispute(m) || !p.node.Table.Merge(m) {
 		return false
 	}
 	_ = level.Info(p.log).Log(
@@ -48,6 +71,18 @@
 	return true
 }
 
+// dispute records that the member has been declared dead, if this balancer still receives its
+// heartbeats, and reports whether it does.
+func (p *Peers) dispute(m member.Member) bool {
+	if !p.hasRecentHeartbeat(m) {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.disputedVersions[m.ID()] = m.Version
+	return true
+}
+
 // hasRecentHeartbeat reports whether the table has the member as alive, and its last
 // heartbeat to this balancer is recent enough not to declare it dead.
 func (p *Peers) hasRecentHeartbeat(m member.Member) bool {
--- a/arbutus-balancer/balancer/peers.go
+++ b/arbutus-balancer/balancer/peers.go
@@ -246,7 +246,7 @@
 		})
 		return
 	}
-	if m.IsComplete() && p.Learn(m) {
+	if m.IsComplete() && p.learnSender(m, true) {
 		p.GossipNow()
 	}
 	p.node.RecordHeartbeat(m.ID(), state.Heartbeat{
@@ -319,7 +319,7 @@
 	}
 	p.node.RecordContact(monitor.Domain, p.now())
 	if monitor.IsComplete() {
-		p.learnFromPeer(monitor)
+		p.learnSender(monitor, false)
 	}
 	p.announcer.HandleAck(ack)
 	p.confirmRevision(config.OrderOf(ack), ack.GetRevisionAgeMillis())
--- a/arbutus-balancer/state/node.go
+++ b/arbutus-balancer/state/node.go
@@ -179,6 +179,14 @@
 	})
 }
 
+// InContactWithDomain reports whether a message from the failure domain has arrived since the
+// given time.
+func (n *Node) InContactWithDomain(domain string, since time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.lastContacts[domain].After(since)
+}
+
 // RegionOf returns the region of the failure domain; empty if the configuration in force
 // does not contain it.
 func (n *Node) RegionOf(domain string) string {
