Reset no flow for lack of a configuration or a member record

Cause: an agent without a configuration has no candidates. A holder that the directory names, and of which no incarnation had ended or none was known, then counted as one that does not return. A balancer to which such an agent returned a packet took all agents of the service for asked.

Change: package ending decides from evidence alone. Without a configuration or a record of the holder, the packet is passed on as uncertain, and the balancer asks the next agent of the service. Agents that end callers' TCP reset no unclaimed flow without a configuration either. A configured agent that knows the holder decides as before.

--- a/arbutus-agent/passthrough/inbound.go
+++ b/arbutus-agent/passthrough/inbound.go
@@ -11,6 +11,7 @@
 	"arbutusfront.dev/common/protocol/ipv4"
 	"arbutusfront.dev/common/state/admission"
 	"arbutusfront.dev/common/state/demand"
+	"arbutusfront.dev/common/state/ending"
 	"arbutusfront.dev/common/state/placement"
 	"arbutusfront.dev/common/transport/datagram"
 )
@@ -231,10 +232,11 @@
 // forwardSegment sends a packet of a flow that is not held here to the flow's holder if the
 // directory knows it, or else to the next candidate. If the holder has ended, the packet is
 // dropped while a new incarnation may still appear, and the flow is reset after that. If no
-// candidate is left, the packet is returned as unclaimed. e.mu must be held.
+// candidate is left, the packet is returned as unclaimed, and as uncertain if this agent can't tell
+// whether the flow is held. e.mu must be held.
 func (e *Engine) forwardSegment(v *state.View, h capsule.Header, p frame.Frame, now time.Time) {
 	h.Visited = append(h.Visited, e.self().Instance)
-	if _, ruledOut := e.notHeldSince[p.Key]; !ruledOut && !e.server.allFlowsKnown(now) {
+	if _, ruledOut := e.notHeldSince[p.Key]; !v.Known || !ruledOut && !e.server.allFlowsKnown(now) {
 		h.Marks |= capsule.MarkUncertain
 	}
 	if known, ok := e.directory.Get(p.Key); ok {
@@ -244,14 +246,18 @@
 			e.forwardTo(v, holder, h, p)
 			return
 		}
-		if !alive && !e.isHolderDead(known.Instance, now) {
-			e.metrics.dropped("holder_away").Inc(1)
-			return
-		}
 		if !alive {
-			e.directory.Remove(p.Key, known.Instance)
-			e.reset(p, "holder_gone")
-			return
+			switch ending.OfHolder(e.evidenceOf(v, known.Instance), now) {
+			case ending.Wait:
+				e.metrics.dropped("holder_away").Inc(1)
+				return
+			case ending.Reset:
+				e.directory.Remove(p.Key, known.Instance)
+				e.reset(p, "holder_gone")
+				return
+			case ending.PassOn:
+				h.Marks |= capsule.MarkUncertain
+			}
 		}
 	}
 	if c, ok := v.Agents.FirstSettled(placement.FlowHash(p.Key), h.Visited); ok {
@@ -277,13 +283,13 @@
 	return nil, false
 }
 
-// isHolderDead reports whether an agent that is no longer a candidate has been gone without
-// a new incarnation for long enough to consider its backend server dead too. The instance may be
-// an earlier incarnation than the one that ended last. One that the node does not know counts as
-// dead.
-func (e *Engine) isHolderDead(instance uint64, now time.Time) bool {
-	m, ok := e.node.MemberOf(instance)
-	return !ok || !e.node.Table.MayReturn(m.Name, now)
+// evidenceOf returns what is known of a holder that is not a candidate. The instance may be an
+// earlier incarnation than the one that ended last.
+func (e *Engine) evidenceOf(v *state.View, instance uint64) ending.Holder {
+	m, recorded := e.node.MemberOf(instance)
+	return ending.Holder{
+		Configured: v.Known, Recorded: recorded, ReturnsUntil: e.node.Table.ReturnsUntil(m.Name),
+	}
 }
 
 // returnUnclaimed returns a packet that no candidate claims to the balancer that first
--- a/arbutus-agent/state/regions.go
+++ b/arbutus-agent/state/regions.go
@@ -42,10 +42,14 @@
 )
 
 // UnclaimedFlowsEnded reports whether a flow that no known agent holds has certainly
-// ended. It returns false while another region may be partitioned, or shortly after an
-// agent of another region died: the holder may be alive there.
+// ended. It returns false without a configuration, with which no other agent is known, while
+// another region may be partitioned, or shortly after an agent of another region died: the
+// holder may be alive there.
 func (n *Node) UnclaimedFlowsEnded() bool {
 	v, now := n.View(), n.now()
+	if !v.Known {
+		return false
+	}
 	for region := range v.partitions {
 		if v.mayBePartitioned(region, now) {
 			return false
--- a/arbutus-balancer/fabric/unclaimed.go
+++ b/arbutus-balancer/fabric/unclaimed.go
@@ -41,12 +41,12 @@
 }
 
 // HandleUnclaimed handles a packet that no queried agent of a service claimed. It forwards
-// the packet to an agent of the next service that may have the flow. Once no service is
-// left to query, it resets the flow, after a delay if an agent may hold it after all. A
-// flow to an endpoint without a route is reset at once. A packet is dropped while the
-// flow's remembered agent may still return. Without a configuration, the
-// agents are queried one by one, and no flow is reset. HandleUnclaimed has no effect
-// without WithPlacement.
+// the packet to an agent of the next service that may have the flow. If the last agent had no
+// configuration, and so could not pass the packet on, the next one of its service comes first.
+// Once no service is left to query, it resets the flow, after a delay if an agent may hold it
+// after all. A flow to an endpoint without a route is reset at once. A packet is dropped while
+// the flow's remembered agent may still return. Without a configuration, the agents are queried
+// one by one, and no flow is reset. HandleUnclaimed has no effect without WithPlacement.
 func (f *Forwarder) HandleUnclaimed(h capsule.Header, packet []byte) {
 	p, err := f.codec.Parse(packet)
 	if err != nil || f.placement == nil {
@@ -58,7 +58,6 @@
 		f.queryUnconfigured(routes, h, p)
 		return
 	}
-	h.Visited = nil
 	if !ok {
 		f.refuse(routes, p)
 		return
@@ -68,6 +67,13 @@
 		return
 	}
 	hash := placement.FlowHash(p.Key)
+	if len(h.Visited) > 0 {
+		if f.queryNext(routes, h, p, hash) {
+			return
+		}
+		h.Marks |= capsule.MarkHopLimit
+	}
+	h.Visited = nil
 	if !route.AllTargetsHaveAgents() {
 		h.Marks |= capsule.MarkUncertain
 	}
--- a/arbutus-balancer/fabric/unconfigured.go
+++ b/arbutus-balancer/fabric/unconfigured.go
@@ -37,11 +37,8 @@
 // packet is dropped without a reset: agents that are not known yet may hold its flow.
 func (f *Forwarder) queryUnconfigured(routes *state.Routes, h capsule.Header, p frame.Frame) {
 	hash := placement.FlowHash(p.Key)
-	if t, ok := routes.Target(h.Service); ok && len(h.Visited) < capsule.MaxVisited {
-		if _, hasNext := t.Agents.FirstSettled(hash, h.Visited); hasNext {
-			f.query(routes, t, h, p, hash)
-			return
-		}
+	if f.queryNext(routes, h, p, hash) {
+		return
 	}
 	queried := f.placement.recordQueried(p.Key, h.Service)
 	h.Visited = nil
@@ -53,3 +50,18 @@
 	}
 	f.placement.endSearch(p.Key)
 }
+
+// queryNext forwards an unclaimed packet to the next agent of its service, after an agent without a
+// configuration has returned it: that agent knows no other. It returns false if all agents were
+// visited, or capsule.MaxVisited.
+func (f *Forwarder) queryNext(routes *state.Routes, h capsule.Header, p frame.Frame, hash uint64) bool {
+	t, ok := routes.Target(h.Service)
+	if !ok || len(h.Visited) >= capsule.MaxVisited {
+		return false
+	}
+	if _, hasNext := t.Agents.FirstSettled(hash, h.Visited); !hasNext {
+		return false
+	}
+	f.query(routes, t, h, p, hash)
+	return true
+}
--- a/arbutus-balancer/fabric/unconfigured_test.go
+++ b/arbutus-balancer/fabric/unconfigured_test.go
@@ -62,3 +62,17 @@
 	g.Expect(err).To(MatchError(dropService))
 	g.Expect(d.resets).To(BeZero())
 }
+
+// TestUnconfiguredAgentEndsNoSearch guards against the reset of a flow because an agent without a
+// configuration has returned it: that agent could not pass it on to the others of its service.
+func TestUnconfiguredAgentEndsNoSearch(t *testing.T) {
+	g, d := NewWithT(t), newTestBalancer(t)
+	b := packetOf(1, splitEndpoint, ipv4.FlagACK, 1)
+	unconfigured := agentOf("desk", "north", 1).Instance
+	d.forwarder.HandleUnclaimed(capsule.Header{Service: capsule.KeyOf("desk"), Visited: []uint64{unconfigured}}, b)
+	g.Expect(d.sent).To(HaveLen(1))
+	g.Expect(d.sent[0].h.Service).To(Equal(capsule.KeyOf("desk")))
+	g.Expect(d.sent[0].h.Target).NotTo(Equal(unconfigured))
+	g.Expect(d.sent[0].h.Visited).To(Equal([]uint64{unconfigured}))
+	g.Expect(d.resets).To(BeZero())
+}
--- a/common/coordination/member/table.go
+++ b/common/coordination/member/table.go
@@ -108,18 +108,25 @@
 	return t.entries[id].endedAt
 }
 
-// MayReturn reports whether the next incarnation of the named process may still appear: the one
-// that ended last did so less than CrashRestartTimeout ago, or PlannedRestartTimeout if it had
-// left. It is false if no incarnation has ended.
-func (t *Table) MayReturn(name string, now time.Time) bool {
+// MayReturn reports whether the next incarnation of the named process may still appear (see
+// ReturnsUntil).
+func (t *Table) MayReturn(name string, now time.Time) bool { return now.Before(t.ReturnsUntil(name)) }
+
+// ReturnsUntil returns until when the next incarnation of the named process may still appear:
+// CrashRestartTimeout after the end of the one that ended last, or PlannedRestartTimeout if it had
+// left. It is zero if no incarnation has ended.
+func (t *Table) ReturnsUntil(name string) time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	last, ok := t.lastEnded[name]
-	timeout := CrashRestartTimeout
-	if last.member.Phase == Left {
-		timeout = PlannedRestartTimeout
+	switch {
+	case !ok:
+		return time.Time{}
+	case last.member.Phase == Left:
+		return last.endedAt.Add(PlannedRestartTimeout)
+	default:
+		return last.endedAt.Add(CrashRestartTimeout)
 	}
-	return ok && now.Sub(last.endedAt) < timeout
 }
 
 // Expire removes the incarnations that ended longer ago than the retention time.
