Wait for agents that are away before an unknown flow is reset

Cause: the agents that were left returned the packet as certainly not held, and the balancer, which did not remember the flow, took that for all agents of the service. The one that was away for its planned restart was not asked.

Change: the balancer records which agents of the queried services were away when the flow was first unclaimed, and waits until each is back or can't return. Agents that leave later have been asked. If the remembered holder has returned the flow itself, it is reset at once as before.

--- a/arbutus-agent/flow/segment.go
+++ b/arbutus-agent/flow/segment.go
@@ -7,8 +7,8 @@
 	"arbutusfront.dev/arbutus-agent/state"
 	"arbutusfront.dev/common/protocol/capsule"
 	"arbutusfront.dev/common/protocol/ipv4"
+	"arbutusfront.dev/common/state/ending"
 	"arbutusfront.dev/common/state/placement"
-	"arbutusfront.dev/common/state/unclaimed"
 	"arbutusfront.dev/common/transport/datagram"
 )
 
@@ -46,7 +46,7 @@
 			return
 		}
 	}
-	if e.unclaimed.MayReset(key, e.now(), unclaimed.ResetDelay) && e.node.UnclaimedFlowsEnded() {
+	if e.unclaimed.MayReset(key, e.now(), ending.ResetDelay) && e.node.UnclaimedFlowsEnded() {
 		e.sendReset(p)
 		return
 	}
--- a/arbutus-balancer/fabric/placement.go
+++ b/arbutus-balancer/fabric/placement.go
@@ -70,6 +70,9 @@
 	search struct {
 		queried   []capsule.ServiceKey
 		startedAt time.Time
+		// returnedByHolder is set if the agent that was remembered as the flow's holder is
+		// alive, and so has returned the flow itself.
+		returnedByHolder bool
 	}
 
 	// flowEntry records the agent that holds a flow, or that its SYN was sent to.
@@ -245,11 +248,10 @@
 
 // recordQueried records that the service was queried for the flow's holder without
 // success, and starts a search if none is running. It also forgets the agent that was
-// remembered for the flow. It returns all services that the search has queried so far.
-func (p *placements) recordQueried(key ipv4.FlowKey, service capsule.ServiceKey) []capsule.ServiceKey {
+// remembered for the flow. It returns a copy of the search.
+func (p *placements) recordQueried(routes *state.Routes, key ipv4.FlowKey, service capsule.ServiceKey) search {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.flows, key)
 	s := p.searches[key]
 	if s == nil {
 		s = &search{startedAt: p.now()}
@@ -257,10 +259,19 @@
 			p.searches[key] = s
 		}
 	}
+	if e := p.flows[key]; e != nil {
+		t, known := routes.Target(e.service)
+		if known && e.confirmed && e.service == service {
+			_, s.returnedByHolder = t.Agents.ByName(e.agent)
+		}
+		delete(p.flows, key)
+	}
 	if !slices.Contains(s.queried, service) {
 		s.queried = append(s.queried, service)
 	}
-	return slices.Clone(s.queried)
+	found := *s
+	found.queried = slices.Clone(s.queried)
+	return found
 }
 
 // endSearch forgets which services were queried for the flow.
--- a/arbutus-balancer/fabric/placement_test.go
+++ b/arbutus-balancer/fabric/placement_test.go
@@ -15,6 +15,7 @@
 	"arbutusfront.dev/common/protocol/capsule"
 	controlv1 "arbutusfront.dev/common/protocol/gen/arbutus/control/v1"
 	"arbutusfront.dev/common/protocol/ipv4"
+	"arbutusfront.dev/common/state/ending"
 	"arbutusfront.dev/common/transport/datagram"
 )
 
@@ -267,7 +268,7 @@
 	unclaimed("desk")
 	unclaimed("plots")
 	g.Expect(d.resets).To(BeZero())
-	d.now = d.now.Add(2 * settleTime)
+	d.now = d.now.Add(2 * ending.SettleTime)
 	unclaimed("desk")
 	unclaimed("plots")
 	g.Expect(d.resets).To(Equal(1))
@@ -323,11 +324,11 @@
 	for _, m := range []member.Member{joining, joining.WithPhase(member.Serving)} {
 		d.node.Table.Merge(m)
 		d.node.Rebuild()
-		d.now = time.Now().Add(republishTime - 100*time.Millisecond)
+		d.now = time.Now().Add(ending.RepublishTime - 100*time.Millisecond)
 		unclaimed()
 		g.Expect(d.resets).To(BeZero())
 	}
-	d.now = time.Now().Add(republishTime)
+	d.now = time.Now().Add(ending.RepublishTime)
 	unclaimed()
 	g.Expect(d.resets).To(Equal(1))
 }
--- a/arbutus-balancer/fabric/unclaimed.go
+++ b/arbutus-balancer/fabric/unclaimed.go
@@ -11,20 +11,11 @@
 	"arbutusfront.dev/common/protocol/capsule"
 	"arbutusfront.dev/common/protocol/frame"
 	"arbutusfront.dev/common/protocol/ipv4"
+	"arbutusfront.dev/common/state/ending"
 	"arbutusfront.dev/common/state/placement"
-	"arbutusfront.dev/common/state/unclaimed"
 	"arbutusfront.dev/common/transport/datagram"
 )
 
-// settleTime is how long this balancer's table may lack other agents after one has joined
-// or left the joining phase, such as when the whole deployment starts.
-const settleTime = 300 * time.Millisecond
-
-// republishTime is how long it may take after a change of the ranking until a flow is
-// published to its new directory replicas. The holder learns of the change within a
-// heartbeat interval, and retransmits publications that are lost.
-const republishTime = time.Second
-
 // HandleHeld records an agent's report that it holds a flow, and the load that the report
 // carries. It has no effect without WithPlacement.
 func (f *Forwarder) HandleHeld(h capsule.Held) {
@@ -77,13 +68,13 @@
 	if !route.AllTargetsHaveAgents() {
 		h.Marks |= capsule.MarkUncertain
 	}
-	queried := f.placement.recordQueried(p.Key, h.Service)
-	if t, ok := nextTarget(routes.Targets(route, hash, maxOtherServices), queried); ok {
+	s := f.placement.recordQueried(routes, p.Key, h.Service)
+	if t, ok := nextTarget(routes.Targets(route, hash, maxOtherServices), s.queried); ok {
 		f.query(routes, t, h, p, hash)
 		return
 	}
 	f.placement.endSearch(p.Key)
-	f.endUnclaimed(h, p)
+	f.endUnclaimed(h, p, s)
 }
 
 // nextTarget returns the first target that has agents and has not been queried. It
@@ -132,28 +123,36 @@
 	return int64(sent)
 }
 
-// endUnclaimed drops a packet that no service claimed, and resets its flow. If an agent
-// may hold the flow after all, it is reset only once it has been unclaimed for
-// unclaimed.ResetDelay. Otherwise all agents know all flows of their backend servers, so a
-// holder would have claimed the packet. No reset is sent for a RST.
-func (f *Forwarder) endUnclaimed(h capsule.Header, p frame.Frame) {
-	resetDelay := time.Duration(0)
-	if f.mayHaveHolder(h.Marks, f.placement.now().Sub(f.node.LastJoin())) {
-		resetDelay = unclaimed.ResetDelay
-	}
-	if p.Flags.Has(ipv4.FlagRST) || !f.placement.unclaimed.MayReset(p.Key, f.placement.now(), resetDelay) || !f.reset(p) {
+// endUnclaimed drops a packet that no service claimed, and resets its flow once that has certainly
+// ended (see ending.OfUnclaimed). No reset is sent for a RST.
+func (f *Forwarder) endUnclaimed(h capsule.Header, p frame.Frame, s search) {
+	now := f.placement.now()
+	first := f.placement.unclaimed.Record(p.Key, now, func() []string { return f.absentHolders(s, now) })
+	evidence := ending.Unclaimed{
+		Uncertain: h.Marks.Has(capsule.MarkUncertain),
+		HopLimit:  h.Marks.Has(capsule.MarkHopLimit),
+		Away:      slices.ContainsFunc(first.Absent, func(name string) bool { return f.node.IsAway(name, now) }),
+		SinceJoin: now.Sub(f.node.LastJoin()),
+		For:       now.Sub(first.At),
+	}
+	if evidence.Away {
+		f.placement.unclaimed.Postpone(p.Key, now)
+	}
+	if p.Flags.Has(ipv4.FlagRST) || ending.OfUnclaimed(evidence) != ending.Reset || !f.reset(p) {
 		return
 	}
-	f.logReset(p, "no_holder", "certain", !h.Marks.Has(capsule.MarkUncertain))
+	f.logReset(p, "no_holder", "certain", !evidence.Uncertain)
 }
 
-// mayHaveHolder reports whether an agent may hold a flow that none claimed: a visited
-// agent may not know all flows of its backend server, a service of the route has no
-// agents, an agent has joined so recently that others may still be unknown here, or the
-// hop limit left agents unvisited and the flow may not be published to its new
-// directory replicas yet. sinceJoin is the time since an agent last joined or left the
-// joining phase.
-func (f *Forwarder) mayHaveHolder(marks capsule.Marks, sinceJoin time.Duration) bool {
-	return marks.Has(capsule.MarkUncertain) || sinceJoin < settleTime ||
-		marks.Has(capsule.MarkHopLimit) && sinceJoin < republishTime
+// absentHolders returns the agents of the queried services that are away and may hold the flow. There
+// are none if the holder that was remembered for the flow has returned it itself.
+func (f *Forwarder) absentHolders(s search, now time.Time) []string {
+	if s.returnedByHolder {
+		return nil
+	}
+	var absent []string
+	for _, service := range s.queried {
+		absent = append(absent, f.node.Away(service, now)...)
+	}
+	return absent
 }
--- a/arbutus-balancer/fabric/unconfigured.go
+++ b/arbutus-balancer/fabric/unconfigured.go
@@ -40,7 +40,7 @@
 	if f.queryNext(routes, h, p, hash) {
 		return
 	}
-	queried := f.placement.recordQueried(p.Key, h.Service)
+	queried := f.placement.recordQueried(routes, p.Key, h.Service).queried
 	h.Visited = nil
 	for _, t := range routes.Services() {
 		if !slices.Contains(queried, t.Key) {
--- a/arbutus-balancer/state/node.go
+++ b/arbutus-balancer/state/node.go
@@ -10,6 +10,7 @@
 
 	"arbutusfront.dev/common/coordination/config"
 	"arbutusfront.dev/common/coordination/member"
+	"arbutusfront.dev/common/protocol/capsule"
 	controlv1 "arbutusfront.dev/common/protocol/gen/arbutus/control/v1"
 	"arbutusfront.dev/common/transport/wait"
 )
@@ -58,6 +59,11 @@
 		// or left the joining phase; at first, when the balancer started.
 		settledAgents map[uint64]bool
 		lastJoin      time.Time
+		// endedAgents are the names of agents of which no incarnation is alive, by service, and
+		// the same names as a set. Only those are included that may return when the routes
+		// are rebuilt.
+		endedAgents map[capsule.ServiceKey][]string
+		ended       map[string]bool
 	}
 )
 
@@ -224,6 +230,28 @@
 	return n.lastJoin
 }
 
+// Away returns the names of the service's agents that have ended and may return.
+func (n *Node) Away(service capsule.ServiceKey, now time.Time) []string {
+	n.mu.Lock()
+	ended := n.endedAgents[service]
+	n.mu.Unlock()
+	var away []string
+	for _, name := range ended {
+		if n.Table.MayReturn(name, now) {
+			away = append(away, name)
+		}
+	}
+	return away
+}
+
+// IsAway reports whether the named agent has ended and may return.
+func (n *Node) IsAway(name string, now time.Time) bool {
+	n.mu.Lock()
+	ended := n.ended[name]
+	n.mu.Unlock()
+	return ended && n.Table.MayReturn(name, now)
+}
+
 // Rebuild rebuilds the routes synchronously, and updates LastJoin. Run calls it after each
 // change.
 func (n *Node) Rebuild() {
@@ -235,8 +263,8 @@
 	n.routes.Store(BuildRoutes(n.Config.Current(), members, blockedUntil))
 }
 
-// recordAgents updates settledAgents and, if an agent was added or has entered or left the
-// joining phase, lastJoin. mu must be held.
+// recordAgents updates settledAgents, endedAgents and, if an agent was added or has entered or left
+// the joining phase, lastJoin. mu must be held.
 func (n *Node) recordAgents(members []member.Member) {
 	alive := make(map[uint64]bool, len(n.settledAgents))
 	for _, m := range members {
@@ -251,4 +279,22 @@
 		}
 	}
 	n.settledAgents = alive
+	n.recordEnded(members)
+}
+
+// recordEnded updates the agents that have ended and may return. mu must be held.
+func (n *Node) recordEnded(members []member.Member) {
+	now := time.Now()
+	alive := make(map[string]bool)
+	for _, m := range members {
+		alive[m.Name] = alive[m.Name] || m.Phase.Alive()
+	}
+	n.endedAgents, n.ended = make(map[capsule.ServiceKey][]string), make(map[string]bool)
+	for _, m := range members {
+		if m.Role != member.Agent || alive[m.Name] || n.ended[m.Name] || !n.Table.MayReturn(m.Name, now) {
+			continue
+		}
+		n.ended[m.Name] = true
+		n.endedAgents[m.ServiceKey()] = append(n.endedAgents[m.ServiceKey()], m.Name)
+	}
 }
--- a/common/state/ending/ending.go
+++ b/common/state/ending/ending.go
@@ -18,6 +18,19 @@
 
 import "time"
 
+const (
+	// SettleTime is how long a balancer's member table may lack other agents after one has
+	// joined or left the joining phase, such as when the whole deployment starts.
+	SettleTime = 300 * time.Millisecond
+	// RepublishTime is how long it may take after a change of the ranking until a flow is
+	// published to its new directory replicas. The holder learns of the change within a
+	// heartbeat interval, and retransmits publications that are lost.
+	RepublishTime = time.Second
+	// ResetDelay is how long a flow is unclaimed before it is reset if an agent may hold it
+	// after all.
+	ResetDelay = 1500 * time.Millisecond
+)
+
 // Verdicts.
 const (
 	// PassOn: this process can't tell, but another one may.
@@ -44,6 +57,25 @@
 		// appear, beside the same backend server; zero if it has not ended.
 		ReturnsUntil time.Time
 	}
+
+	// Unclaimed is what a balancer knows of a flow that all agents which it could ask have
+	// returned.
+	Unclaimed struct {
+		// Uncertain is set if an agent that was asked may not know all flows of its backend
+		// server, or a service of the route has no agents.
+		Uncertain bool
+		// HopLimit is set if some agents were not asked, as the flow's directory replicas
+		// know its holder.
+		HopLimit bool
+		// Away is set if an agent that could not be asked since the flow was first
+		// unclaimed may return, and no directory replica rules out that it holds the flow.
+		Away bool
+		// SinceJoin is how long ago an agent last joined or left the joining phase.
+		SinceJoin time.Duration
+		// For is how long the flow has been unclaimed, not counting the time until Away was
+		// last set.
+		For time.Duration
+	}
 )
 
 // OfHolder returns whether the flows of the holder have ended.
@@ -57,3 +89,12 @@
 		return Reset
 	}
 }
+
+// OfUnclaimed returns whether the flow has ended. It never returns PassOn.
+func OfUnclaimed(u Unclaimed) Verdict {
+	doubtful := u.Uncertain || u.SinceJoin < SettleTime || u.HopLimit && u.SinceJoin < RepublishTime
+	if u.Away || doubtful && u.For < ResetDelay {
+		return Wait
+	}
+	return Reset
+}
--- a/common/state/ending/ending_test.go
+++ b/common/state/ending/ending_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 )
 
 // TestOfHolder guards against a flow that is reset because this process does not know its holder, and
@@ -25,3 +26,41 @@
 		t.Run(name, func(t *testing.T) { NewWithT(t).Expect(OfHolder(c.holder, now)).To(Equal(c.want)) })
 	}
 }
+
+// TestOfUnclaimed guards against a reset while an agent may hold the flow, against a delay of one that
+// certainly has ended, and against a flow that is never reset: only Away lasts, which has an end.
+func TestOfUnclaimed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		duration := func(name string) time.Duration {
+			return time.Duration(rapid.Int64Range(0, int64(2*ResetDelay)).Draw(t, name))
+		}
+		u := Unclaimed{
+			Uncertain: rapid.Bool().Draw(t, "uncertain"), HopLimit: rapid.Bool().Draw(t, "hop_limit"),
+			Away: rapid.Bool().Draw(t, "away"), SinceJoin: duration("since_join"), For: duration("for"),
+		}
+		verdict := OfUnclaimed(u)
+		switch {
+		case u.Away:
+			g.Expect(verdict).To(Equal(Wait))
+		case u.For >= ResetDelay:
+			g.Expect(verdict).To(Equal(Reset))
+		case u.Uncertain || u.SinceJoin < SettleTime:
+			g.Expect(verdict).To(Equal(Wait))
+		case !u.HopLimit || u.SinceJoin >= RepublishTime:
+			g.Expect(verdict).To(Equal(Reset))
+		default:
+			g.Expect(verdict).To(Equal(Wait))
+		}
+	})
+}
+
+func BenchmarkOfUnclaimed(b *testing.B) {
+	b.ReportAllocs()
+	u := Unclaimed{HopLimit: true, SinceJoin: time.Second}
+	for b.Loop() {
+		if OfUnclaimed(u) != Reset {
+			b.Fatal("not reset")
+		}
+	}
+}
