Report odd announcements that an agent accepts in the soak

Cause: callers of the soak repeat a request whose flow is reset while idle, so it passed although the incomplete announcement ended a run. Requests that broke beside odd announcements counted as the effect of a fault.

Change: an accepted odd announcement is a violation, and so is a request that breaks while there is nothing else.

--- a/arbutus-lab/soak/odd.go
+++ b/arbutus-lab/soak/odd.go
@@ -47,7 +47,7 @@
 }
 
 // announceOddly sends an odd announcement to the target's agent, in the name of its backend server.
-// The calls of callers and the checks of the soak show whether it has an effect.
+// It is a violation if the agent accepts it, and callers must not notice it either.
 func (h *harness) announceOddly(ctx context.Context, e Event) error {
 	call, cancel := context.WithTimeout(ctx, oddCallTimeout)
 	defer cancel()
@@ -62,6 +62,9 @@
 		if err := response.Body.Close(); err != nil {
 			return err
 		}
+		if response.StatusCode < http.StatusBadRequest {
+			h.records.addViolationf("%s accepted an odd announcement (%s): status %d", e.Target, e.How, response.StatusCode)
+		}
 	}
 	wait.For(ctx, e.For)
 	return nil
--- a/arbutus-lab/soak/plan.go
+++ b/arbutus-lab/soak/plan.go
@@ -137,7 +137,7 @@
 		minDuration: writeBackBound + 200*time.Millisecond, maxDuration: writeBackBound + 4*time.Second, weight: 3,
 	},
 	{
-		kind: OddAnnouncement, targets: serversOf, variants: slices.Sorted(maps.Keys(oddAnnouncements)),
+		kind: OddAnnouncement, planned: true, targets: serversOf, variants: slices.Sorted(maps.Keys(oddAnnouncements)),
 		minDuration: 100 * time.Millisecond, maxDuration: time.Second, onlyPassThrough: true, weight: 2,
 	},
 	{kind: OddStoreEntries, targets: storeOf, minDuration: time.Second, maxDuration: 5 * time.Second, weight: 1},
