Believe deaths of balancers that monitors elsewhere report

Cause: the doubt about reports from a third failure domain also applied to balancers. Their monitors are in three failure domains, not always their own: in a deployment of five, the others would have learned of a crashed balancer only by a comparison of tables.

Change: a report that a balancer is dead is doubtful only within 10 s after a balancer of the sender's failure domain was found to be back.

--- a/arbutus-balancer/balancer/learn.go
+++ b/arbutus-balancer/balancer/learn.go
@@ -34,7 +34,7 @@
 	}
 	before, _ := p.node.Table.Get(m.ID())
 	changed := p.learn(m, firstHand)
-	if changed && m.Role == member.Balancer && before.Phase == member.Dead && m.Phase.Alive() {
+	if changed && isBack(before, m) {
 		p.reconcile(m)
 	}
 	return changed
@@ -61,9 +61,13 @@
 // acknowledgment of the member's next heartbeat says so, and the member announces a
 // later version.
 func (p *Peers) merge(m member.Member) bool {
+	before, _ := p.node.Table.Get(m.ID())
 	if m.Phase == member.Dead && p.dispute(m) || !p.node.Table.Merge(m) {
 		return false
 	}
+	if isBack(before, m) {
+		p.recordBack(m.Domain)
+	}
 	_ = level.Info(p.log).Log(
 		"event", "member", "name", m.Name, "role", m.Role, "phase", m.Phase,
 		"domain", m.Domain, "service", m.Service, "instance", m.Instance, "version", m.Version,
@@ -71,6 +75,11 @@
 	return true
 }
 
+// isBack reports whether the record m shows that a balancer which counted as dead is back.
+func isBack(before, m member.Member) bool {
+	return m.Role == member.Balancer && before.Phase == member.Dead && m.Phase.Alive()
+}
+
 // dispute records that the member has been declared dead, if this balancer still receives its
 // heartbeats, and reports whether it does.
 func (p *Peers) dispute(m member.Member) bool {
--- a/arbutus-balancer/balancer/peers.go
+++ b/arbutus-balancer/balancer/peers.go
@@ -94,6 +94,9 @@
 		// although this balancer still receives their heartbeats, with the version that
 		// was declared dead.
 		disputedVersions map[member.ID]uint64
+		// backAt is when a balancer that had counted as dead was last found to be back, by
+		// failure domain.
+		backAt map[string]time.Time
 		// viewDigests are cached by service.
 		viewDigests      map[string]cachedDigest
 		partitionedCache regionCache
@@ -168,6 +171,7 @@
 		gossipNow:        make(chan struct{}, 1),
 		rumors:           make(map[member.ID]rumor),
 		disputedVersions: make(map[member.ID]uint64),
+		backAt:           make(map[string]time.Time),
 		suspicions:       make(map[member.ID]*suspicion),
 		viewDigests:      make(map[string]cachedDigest),
 	}
--- a/arbutus-balancer/balancer/reconcile.go
+++ b/arbutus-balancer/balancer/reconcile.go
@@ -10,18 +10,24 @@
 	"arbutusfront.dev/common/coordination/member"
 )
 
-// reconcileWindow is how long ago a member was declared dead at most for its death to be reported
-// to a balancer that is back.
-const reconcileWindow = time.Minute
+const (
+	// reconcileWindow is how long ago a member was declared dead at most for its death to be
+	// reported to a balancer that is back.
+	reconcileWindow = time.Minute
+	// healTime is how long after a balancer is back the reports of its failure domain are
+	// doubtful. By then the deaths that it had declared are refuted.
+	healTime = 10 * time.Second
+)
 
 // isDoubtful reports whether the sender's report that a member is dead contradicts what this
 // balancer receives. A part of the deployment that is cut off declares the members of all others
 // dead, and reports it once the cut is over. A balancer of the member's own failure domain knows
 // better; one of this failure domain has checked the report itself. A report by any other is
-// doubtful while this balancer is in contact with the member's failure domain: if the member is
-// dead, a balancer there says so. The death of a balancer may be known only elsewhere if there is
-// no other one in its failure domain, so that there must have been contact since it should have
-// been heard last.
+// doubtful while this balancer is in contact with the member's failure domain.
+//
+// Agents have monitors in their own failure domain if there is a balancer, which then says so if
+// the agent is dead. The monitors of a balancer may all be elsewhere, so that a report of its death
+// is doubtful only if the sender's failure domain counted as dead itself until recently.
 func (p *Peers) isDoubtful(m, sender member.Member) bool {
 	self := p.announcer.Self()
 	if m.Phase != member.Dead || sender.Domain == m.Domain || sender.Domain == self.Domain {
@@ -30,14 +36,32 @@
 	if known, ok := p.node.Table.Get(m.ID()); !ok || !known.Phase.Alive() {
 		return false
 	}
-	if m.Domain == self.Domain {
-		return m.Role == member.Agent
-	}
-	if m.Role == member.Balancer {
-		return p.node.InContactWithDomain(m.Domain, p.now().Add(-p.suspectAfter()))
+	now := p.now()
+	switch {
+	case m.Role == member.Balancer:
+		return p.wasCutOff(sender.Domain, now) &&
+			(m.Domain == self.Domain || p.node.InContactWithDomain(m.Domain, now.Add(-p.suspectAfter())))
+	case m.Domain == self.Domain:
+		return true
+	default:
+		return p.node.InContactWithDomain(m.Domain, now.Add(-state.ContactBound)) &&
+			slices.ContainsFunc(p.others(), func(b member.Member) bool { return b.Domain == m.Domain })
 	}
-	return p.node.InContactWithDomain(m.Domain, p.now().Add(-state.ContactBound)) &&
-		slices.ContainsFunc(p.others(), func(b member.Member) bool { return b.Domain == m.Domain })
+}
+
+// recordBack records that a balancer of the failure domain, which counted as dead, is back.
+func (p *Peers) recordBack(domain string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.backAt[domain] = p.now()
+}
+
+// wasCutOff reports whether a balancer of the failure domain has come back within healTime.
+func (p *Peers) wasCutOff(domain string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at, ok := p.backAt[domain]
+	return ok && now.Sub(at) < healTime
 }
 
 // reconcile exchanges what this balancer and one that is back have missed of each other while one
