Compare tables once more after a balancer is back

Cause: after a cut, members refute their deaths while some balancers still count as dead for others, which ignore their messages.

Change: the table of a balancer that is back is fetched again after 1 s, and what it knows of its own failure domain is spread in all of them.

--- a/arbutus-balancer/balancer/gossip.go
+++ b/arbutus-balancer/balancer/gossip.go
@@ -39,6 +39,7 @@
 		case <-timer.C:
 		}
 		timer.Stop()
+		p.queueFollowUps()
 		near, far := p.takeRumors()
 		for part := range slices.Chunk(near, changesPerSend) {
 			p.spread(part, pickRandom(p.near(), fanout))
@@ -173,7 +174,7 @@
 				p.pullRevision(ctx, r.from)
 			}
 			if r.members {
-				p.PullMembers(ctx, r.from)
+				p.pullMembers(ctx, r)
 			}
 		}
 	}
@@ -208,17 +209,25 @@
 // PullMembers fetches the part of the peer's table that differs from this balancer's, and
 // merges it. Synced returns true after the first success.
 func (p *Peers) PullMembers(ctx context.Context, from member.Member) {
+	p.pullMembers(ctx, pull{from: from, members: true})
+}
+
+func (p *Peers) pullMembers(ctx context.Context, r pull) {
 	digests := p.node.Table.Snapshot().BucketDigests()
-	members, err := p.fetch.Members(ctx, from.Control, digests)
+	members, err := p.fetch.Members(ctx, r.from.Control, digests)
 	if err != nil {
-		_ = level.Warn(p.log).Log("event", "sync_failed", "peer", from.Name, "err", err)
+		_ = level.Warn(p.log).Log("event", "sync_failed", "peer", r.from.Name, "err", err)
 		return
 	}
 	for _, m := range members {
-		// Other balancers compare digests too, so these changes are not spread again.
-		if p.isDoubtful(m, from) {
-			p.learnReport(m, from)
-		} else if m.ID() != p.announcer.Self().ID() {
+		switch {
+		case p.isDoubtful(m, r.from):
+			p.learnReport(m, r.from)
+		case m.ID() == p.announcer.Self().ID():
+		case r.isBack && m.Domain == r.from.Domain:
+			p.Learn(m)
+		default:
+			// Other balancers compare digests too, so these changes are not spread again.
 			p.merge(m)
 		}
 	}
--- a/arbutus-balancer/balancer/reconcile.go
+++ b/arbutus-balancer/balancer/reconcile.go
@@ -17,6 +17,10 @@
 	// healTime is how long after a balancer is back the reports of its failure domain are
 	// doubtful. By then the deaths that it had declared are refuted.
 	healTime = 10 * time.Second
+	// followUpDelay is after how long the table of a balancer that is back is compared once more.
+	// Meanwhile members refute their deaths, and some of that is sent while one of the balancers
+	// still counts as dead for the other.
+	followUpDelay = time.Second
 )
 
 // isDoubtful reports whether the sender's report that a member is dead contradicts what this
@@ -77,5 +81,23 @@
 	for part := range slices.Chunk(deaths[:min(len(deaths), maxRumors)], changesPerSend) {
 		p.spread(part, []member.Member{b})
 	}
-	p.queuePull(pull{from: b, members: true})
+	back := pull{from: b, members: true, isBack: true}
+	p.queuePull(back)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.followUps = append(p.followUps, followUp{at: now.Add(followUpDelay), pull: back})
+}
+
+// queueFollowUps queues the pulls that are due.
+func (p *Peers) queueFollowUps() {
+	now := p.now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.followUps = slices.DeleteFunc(p.followUps, func(f followUp) bool {
+		if f.at.After(now) {
+			return false
+		}
+		p.queuePull(f.pull)
+		return true
+	})
 }
--- a/arbutus-balancer/balancer/reconcile_test.go
+++ b/arbutus-balancer/balancer/reconcile_test.go
@@ -157,5 +157,12 @@
 	g.Expect(h.peers.pulls).To(HaveLen(1))
 	g.Expect((<-h.peers.pulls).members).To(BeTrue())
 	h.heartbeat(back)
+	h.peers.queueFollowUps()
+	g.Expect(h.peers.pulls).To(BeEmpty())
+	h.peers.now = func() time.Time { return time.Now().Add(followUpDelay) }
+	h.peers.queueFollowUps()
+	g.Expect(h.peers.pulls).To(HaveLen(1), "members that have refuted their deaths meanwhile")
+	<-h.peers.pulls
+	h.peers.queueFollowUps()
 	g.Expect(h.peers.pulls).To(BeEmpty(), "once")
 }
--- a/arbutus-lab/sessions/deployment_test.go
+++ b/arbutus-lab/sessions/deployment_test.go
@@ -61,7 +61,8 @@
 		// dir contains the settings files and copies of the deployment's files.
 		dir  string
 		logs bytes.Buffer
-		// namedLogs adds the time and the process's name to the lines of pass-through processes.
+		// namedLogs adds the time and the process's name to the lines of balancers and of
+		// pass-through agents.
 		namedLogs bool
 		startedAt time.Time
 
--- a/arbutus-lab/sessions/processes_test.go
+++ b/arbutus-lab/sessions/processes_test.go
@@ -55,7 +55,7 @@
 func (w *deployment) runBalancer(name, domain string, identity settings.Identity) {
 	host := w.registerHost(name, domain, "")
 	opts := &balancerserve.Options{
-		Streams: command.Streams{Err: lockedWriter{w}},
+		Streams: command.Streams{Err: w.logWriter(name)},
 		Network: func() network.Network { return w.network.Host(host) },
 		Settings: settings.Balancer{
 			Identity:      identity,
