--- a/arbutus-lab/sessions/domain_cut_test.go
+++ b/arbutus-lab/sessions/domain_cut_test.go
@@ -19,7 +19,6 @@
 	refutedBound = 4 * time.Second
 	// platformHeartbeatMillis is the heartbeat interval of the deployments with this bound.
 	platformHeartbeatMillis = 250
-	cutBalancers = 18
 )
 
 // memberLine matches a balancer's log line on a member. With named logs, the line begins with the
