--- a/arbutus-balancer/balancer/gossip.go
+++ b/arbutus-balancer/balancer/gossip.go
@@ -17,6 +17,24 @@
 	"arbutusfront.dev/common/transport/wait"
 )
 
+type (
+	// pull is a queued fetch of a peer's newer revision, or of the members of its table
+	// that differ, or of both. If isBack is set, the peer had counted as dead, so that what it
+	// knows of its own failure domain is spread as if it was learned first-hand.
+	pull struct {
+		from     member.Member
+		revision bool
+		members  bool
+		isBack   bool
+	}
+
+	// followUp is a pull that is due at a later time.
+	followUp struct {
+		at   time.Time
+		pull pull
+	}
+)
+
 // gossip sends changes to a few peers in each round and, while there are none, the digest
 // of the table to one peer at longer intervals. A new revision is announced at once. It
 // runs until ctx is canceled.
--- a/arbutus-balancer/balancer/peers.go
+++ b/arbutus-balancer/balancer/peers.go
@@ -121,22 +121,6 @@
 	// Option changes how Peers are built.
 	Option func(*Peers)
 
-	// pull is a queued fetch of a peer's newer revision, or of the members of its table
-	// that differ, or of both. If isBack is set, the peer had counted as dead, so that what it
-	// knows of its own failure domain is spread as if it was learned first-hand.
-	pull struct {
-		from     member.Member
-		revision bool
-		members  bool
-		isBack   bool
-	}
-
-	// followUp is a pull that is due at a later time.
-	followUp struct {
-		at   time.Time
-		pull pull
-	}
-
 	// regionCache holds the regions whose members have all been declared dead, for one
 	// state of the table and the configuration.
 	regionCache struct {
