--- a/review/standin-3/fleet.go
+++ b/review/standin-3/fleet.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"hash/crc32"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -30,9 +32,12 @@
 		service string
 		addr    netip.Addr
 		backend *backend
+		// dark keeps the sockets of a lost machine open.
+		dark []io.Closer
 
 		mu          sync.Mutex
 		cmd         *exec.Cmd
+		ended       chan struct{}
 		disruptedAt time.Time
 		misses      int
 		ready       bool
@@ -44,6 +49,7 @@
 		prefix    string
 		ports     ports
 		zones     []string
+		mu        sync.Mutex
 		machines  []*machine
 		store     *store
 		rec       *record
@@ -85,10 +91,19 @@
 
 func (f *fleet) add(name, class, zone, service string, n int) *machine {
 	m := &machine{fleet: f, name: name, class: class, zone: zone, service: service, addr: f.addr(n)}
-	f.machines = append(f.machines, m)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	// Readers may hold the former slice.
+	f.machines = append(slices.Clone(f.machines), m)
 	return m
 }
 
+func (f *fleet) all() []*machine {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.machines
+}
+
 func (m *machine) at(port uint16) netip.AddrPort { return netip.AddrPortFrom(m.addr, port) }
 func (m *machine) app() netip.AddrPort           { return m.at(m.fleet.ports.app) }
 func (m *machine) control() netip.AddrPort       { return m.at(m.fleet.ports.control) }
@@ -163,15 +178,48 @@
 		return err
 	}
 	m.mu.Lock()
-	m.cmd = cmd
+	ended := make(chan struct{})
+	m.cmd, m.ended = cmd, ended
 	m.mu.Unlock()
 	go func() {
 		_ = cmd.Wait()
+		close(ended)
 		_ = out.Close()
 	}()
 	return nil
 }
 
+// lose ends the machine's process without notice, and leaves its address dark: connections to it get no
+// answer.
+func (m *machine) lose() error {
+	m.signal(syscall.SIGKILL)
+	m.wait()
+	for _, port := range []uint16{m.fleet.ports.internal, m.fleet.ports.readiness} {
+		// The listener's queue takes connections, which nobody answers.
+		l, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(m.at(port)))
+		if err != nil {
+			return err
+		}
+		m.dark = append(m.dark, l)
+	}
+	for _, port := range []uint16{m.fleet.ports.internal, m.fleet.ports.datagram} {
+		c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(m.at(port)))
+		if err != nil {
+			return err
+		}
+		m.dark = append(m.dark, c)
+	}
+	return nil
+}
+
+// wait waits until the machine's process has ended.
+func (m *machine) wait() {
+	m.mu.Lock()
+	ended := m.ended
+	m.mu.Unlock()
+	<-ended
+}
+
 // signal sends a signal to the machine's process, and records it as a disruption.
 func (m *machine) signal(s syscall.Signal) {
 	m.mu.Lock()
@@ -208,42 +256,45 @@
 	_ = f.store.server.Close()
 }
 
-// probeReadiness asks each balancer twice a second whether it is ready. After two misses it is out
-// of rotation.
+// probeReadiness begins to probe all balancers.
 func (f *fleet) probeReadiness() {
-	client := &http.Client{Timeout: 400 * time.Millisecond}
 	for _, m := range f.machines {
-		if m.class != "front" {
-			continue
+		if m.class == "front" {
+			f.probe(m)
 		}
-		f.wg.Go(func() {
-			for {
-				select {
-				case <-f.stopped:
-					return
-				case <-time.After(500 * time.Millisecond):
-				}
-				response, err := client.Get(fmt.Sprintf("http://%s/api/readiness", m.at(f.ports.readiness)))
-				ok := err == nil && response.StatusCode == http.StatusOK
-				if err == nil {
-					_ = response.Body.Close()
-				}
-				m.mu.Lock()
-				if ok {
-					m.misses, m.ready = 0, true
-				} else if m.misses++; m.misses >= 2 {
-					m.ready = false
-				}
-				m.mu.Unlock()
-			}
-		})
 	}
 }
 
+// probe asks a balancer twice a second whether it is ready. After two misses it is out of rotation.
+func (f *fleet) probe(m *machine) {
+	client := &http.Client{Timeout: 400 * time.Millisecond}
+	f.wg.Go(func() {
+		for {
+			select {
+			case <-f.stopped:
+				return
+			case <-time.After(500 * time.Millisecond):
+			}
+			response, err := client.Get(fmt.Sprintf("http://%s/api/readiness", m.at(f.ports.readiness)))
+			ok := err == nil && response.StatusCode == http.StatusOK
+			if err == nil {
+				_ = response.Body.Close()
+			}
+			m.mu.Lock()
+			if ok {
+				m.misses, m.ready = 0, true
+			} else if m.misses++; m.misses >= 2 {
+				m.ready = false
+			}
+			m.mu.Unlock()
+		}
+	})
+}
+
 // route returns the balancer that the platform's routers forward the client's packet to.
 func (f *fleet) route(zone string, p packet) (netip.AddrPort, bool) {
 	var all, inRotation []*machine
-	for _, m := range f.machines {
+	for _, m := range f.all() {
 		if m.class != "front" || m.zone != zone {
 			continue
 		}
@@ -264,14 +315,19 @@
 	return inRotation[h%uint32(len(inRotation))].datagram(), true
 }
 
-// configure writes the operator's configuration: one route for each service.
+// configure writes the operator's configuration: one route for each service that is named, in this
+// order. A service may have several routes.
 func (f *fleet) configure(version int, services ...string) {
 	var routes, list []map[string]any
 	for i, s := range services {
+		known := slices.Contains(services[:i], s)
 		routes = append(routes, map[string]any{
-			"name": "r-" + s, "host": f.routeAddr(i).Addr().String(), "prefix": "/443/", "kind": "unsafe", "timeout-ms": 1500,
+			"name": fmt.Sprintf("r%d-%s", i, s), "host": f.routeAddr(i).Addr().String(), "prefix": "/443/", "kind": "unsafe", "timeout-ms": 1500,
 			"target-latency-ms": 200, "priority": 1, "service": s, "attempts": 2,
 		})
+		if known {
+			continue
+		}
 		list = append(list, map[string]any{
 			"name": s, "health-path": "/health", "max-connections": 2000, "protocol": "h1", "tls": false, "cold-start-s": 2.0, "cold-per-s": 0.0,
 		})
@@ -284,12 +340,12 @@
 	f.rec.log("operator: version %d acknowledged", version)
 }
 
-// build creates the machines of a small deployment: two balancers in each of two zones and one in the
-// third, and backends with their agents.
-func (f *fleet) build(services map[string][]int) {
+// build creates the machines of a small deployment: the given number of balancers in each zone, and
+// backends with their agents.
+func (f *fleet) build(fronts []int, services map[string][]int) {
 	n := 1
 	for i, z := range f.zones {
-		for k := range []int{2, 2, 1}[i] {
+		for k := range fronts[i] {
 			f.add(fmt.Sprintf("front-%s-%d", z, k+1), "front", z, "", n)
 			n++
 		}
@@ -329,3 +385,11 @@
 	}
 	return nil
 }
+
+// touch records that the machine's process was started or stopped now.
+func (m *machine) touch(what string) {
+	m.mu.Lock()
+	m.disruptedAt = time.Now()
+	m.mu.Unlock()
+	m.fleet.rec.log("%s: %s", m.name, what)
+}
--- a/review/standin-3/stall.go
+++ b/review/standin-3/stall.go
@@ -11,7 +11,7 @@
 // stall stops one agent for a moment, and crashes the backend beside it some seconds later. Callers'
 // flows are long and mostly idle.
 func stall(f *fleet, trouble bool) error {
-	f.build(map[string][]int{"desk": {3, 2, 2}, "maps": {1, 1, 1}})
+	f.build([]int{2, 2, 1}, map[string][]int{"desk": {3, 2, 2}, "maps": {1, 1, 1}})
 	f.configure(7, "desk", "maps")
 	if err := f.startAll(); err != nil {
 		return err
