--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -33,6 +33,8 @@
 	clientFlow struct {
 		h   *host
 		key flowKey
+		// via is the balancer that gets the flow's packets; nil for the one that the routers choose.
+		via *machine
 
 		mu       sync.Mutex
 		isn      uint32
@@ -80,19 +82,26 @@
 	}
 }
 
-// send sends the packet to a balancer, as the platform's routers do.
-func (h *host) send(p packet) {
-	if to, ok := h.fleet.route(h.zone, p); ok {
-		_, _ = h.udp.WriteToUDPAddrPort(p.encode(), to)
+// send sends the flow's packet to a balancer, as the platform's routers do.
+func (f *clientFlow) send(p packet) {
+	to, ok := f.h.fleet.route(f.h.zone, p)
+	if f.via != nil {
+		to, ok = f.via.datagram(), true
+	}
+	if ok {
+		_, _ = f.h.udp.WriteToUDPAddrPort(p.encode(), to)
 	}
 }
 
 // open opens a flow, and reports why it failed, if it did.
-func (h *host) open(route netip.AddrPort) (*clientFlow, string) {
+func (h *host) open(route netip.AddrPort) (*clientFlow, string) { return h.openVia(route, nil) }
+
+// openVia is open for a flow that is sent straight to a balancer.
+func (h *host) openVia(route netip.AddrPort, via *machine) (*clientFlow, string) {
 	h.mu.Lock()
 	h.port++
 	f := &clientFlow{
-		h: h, key: flowKey{client: netip.AddrPortFrom(h.addr, h.port), route: route}, isn: rand.Uint32(),
+		h: h, via: via, key: flowKey{client: netip.AddrPortFrom(h.addr, h.port), route: route}, isn: rand.Uint32(),
 		openedC: make(chan struct{}), answerC: make(chan string, 4), endC: make(chan struct{}),
 	}
 	f.next = f.isn + 1
@@ -103,7 +112,7 @@
 	h.mu.Unlock()
 	end := time.After(synTimeout)
 	for copies, pause := range []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, time.Hour} {
-		h.send(packet{seq: f.isn, ack: uint32(copies), dst: route, src: f.key.client, flags: flagSYN})
+		f.send(packet{seq: f.isn, ack: uint32(copies), dst: route, src: f.key.client, flags: flagSYN})
 		select {
 		case <-f.openedC:
 			return f, ""
@@ -174,7 +183,7 @@
 			f.takeAnswer()
 		}
 		if len(p.data) > 0 {
-			f.h.send(f.packet(flagACK, f.next, nil))
+			f.send(f.packet(flagACK, f.next, nil))
 		}
 		if p.has(flagFIN) && p.seq+uint32(len(p.data)) == f.expected {
 			f.expected++
@@ -217,7 +226,7 @@
 	for delay := firstRetransmit; ; delay = min(2*delay, maxRetransmit) {
 		f.mu.Lock()
 		if int32(f.acked-end) < 0 {
-			f.h.send(f.packet(flagACK, seq, data))
+			f.send(f.packet(flagACK, seq, data))
 		}
 		f.mu.Unlock()
 		select {
@@ -229,7 +238,7 @@
 			return "", f.reason()
 		case <-timeout:
 			f.h.rec.failed(id, "deadline")
-			f.h.send(f.packet(flagRST|flagACK, end, nil))
+			f.send(f.packet(flagRST|flagACK, end, nil))
 			f.end("deadline")
 			return "", "deadline"
 		case <-time.After(delay):
