--- a/review/standin-3/lag.go
+++ b/review/standin-3/lag.go
@@ -15,7 +15,7 @@
 // seconds later, while a balancer is added to the zone. Some flows on the new route then move to the
 // restarted balancer.
 func lag(f *fleet, trouble bool) error {
-	hosts, _, err := restartBesideLoss(f, trouble)
+	hosts, err := restartBesideLoss(f, trouble)
 	if err != nil {
 		return err
 	}
@@ -41,38 +41,38 @@
 }
 
 // restartBesideLoss starts a deployment and restarts a balancer as planned. With trouble, another one
-// of its zone is lost when it starts again. It returns the clients' hosts and the restarted balancer.
-func restartBesideLoss(f *fleet, trouble bool) ([]*host, *machine, error) {
+// of its zone is lost when it starts again. It returns the clients' hosts.
+func restartBesideLoss(f *fleet, trouble bool) ([]*host, error) {
 	f.build([]int{3, 1, 1}, map[string][]int{"desk": {3, 2, 2}, "maps": {1, 1, 1}})
 	f.configure(7, "desk", "maps")
 	if err := f.startAll(); err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	var hosts []*host
 	for i, z := range []string{"zone-a", "zone-a", "zone-b", "zone-c"} {
 		h, err := newHost(f, z, f.addr(100+i), f.rec)
 		if err != nil {
-			return nil, nil, err
+			return nil, err
 		}
 		hosts = append(hosts, h)
 	}
 	if !waitServed(f, hosts) {
-		return nil, nil, errors.New("the deployment does not serve")
+		return nil, errors.New("the deployment does not serve")
 	}
 	restarted, lost := f.named("front-zone-a-1"), f.named("front-zone-a-2")
 	restarted.signal(syscall.SIGTERM)
 	restarted.wait()
 	time.Sleep(restartDelay)
 	if err := restarted.startProcess(); err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	restarted.touch("starts again")
 	if trouble {
 		if err := lost.lose(); err != nil {
-			return nil, nil, err
+			return nil, err
 		}
 	}
-	return hosts, restarted, nil
+	return hosts, nil
 }
 
 // newRouteFlow opens a flow on the new route, and sends requests on it until the end.
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -26,7 +26,7 @@
 }
 
 func run(name, repo, out string, trouble bool) int {
-	play := map[string]func(*fleet, bool) error{"stall": stall, "lag": lag, "history": history}[name]
+	play := map[string]func(*fleet, bool) error{"stall": stall, "lag": lag}[name]
 	if play == nil {
 		fmt.Println("no such case:", name)
 		return cannotRun
