Pull a later revision at once, also beside lost peers

Cause: all pulls from peers ran one after the other in one queue. For 1.5 s after its start a balancer queues a pull of the member table every 80 ms, also from the lost peer while that counts as alive. Each of these takes 3 s, and the pull of the revision waited behind them.

Change: pulls of revisions and of members run in lanes of their own. A peer is asked once at a time, not while it counts as dead, and calls to it end when it is declared dead. If the peer that has announced a revision does not respond, another one is asked. RevisionHolder remembers what was announced, so that pulls are left out once the revision is in force.

--- a/arbutus-balancer/balancer/gossip.go
+++ b/arbutus-balancer/balancer/gossip.go
@@ -9,31 +9,16 @@
 	"slices"
 	"time"
 
-	"github.com/go-kit/log/level"
-
 	"arbutusfront.dev/common/coordination/config"
 	"arbutusfront.dev/common/coordination/member"
 	controlv1 "arbutusfront.dev/common/protocol/gen/arbutus/control/v1"
-	"arbutusfront.dev/common/transport/wait"
 )
 
-type (
-	// pull is a queued fetch of a peer's newer revision, or of the members of its table
-	// that differ, or of both. If isBack is set, the peer had counted as dead, so that what it
-	// knows of its own failure domain is spread as if it was learned first-hand.
-	pull struct {
-		from     member.Member
-		revision bool
-		members  bool
-		isBack   bool
-	}
-
-	// followUp is a pull that is due at a later time.
-	followUp struct {
-		at   time.Time
-		pull pull
-	}
-)
+// followUp is a pull that is due at a later time.
+type followUp struct {
+	at   time.Time
+	pull pull
+}
 
 // gossip sends changes to a few peers in each round and, while there are none, the digest
 // of the table to one peer at longer intervals. A new revision is announced at once. It
@@ -164,90 +149,7 @@
 	}
 	p.queuePull(pull{
 		from:     sender,
-		revision: p.isNewer(config.OrderOf(g)),
+		revision: p.learnRevision(config.OrderOf(g)),
 		members:  len(g.GetChanges()) == 0 && g.GetTableDigest() != p.node.Table.Snapshot().Digest,
 	})
 }
-
-// queuePull queues a pull if there is anything to pull. It drops the pull if the queue is
-// full, as the next gossip message triggers it again.
-func (p *Peers) queuePull(r pull) {
-	if !r.revision && !r.members {
-		return
-	}
-	select {
-	case p.pulls <- r:
-	default:
-	}
-}
-
-// runPulls executes the queued pulls one at a time until ctx is canceled.
-func (p *Peers) runPulls(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case r := <-p.pulls:
-			if r.revision {
-				p.pullRevision(ctx, r.from)
-			}
-			if r.members {
-				p.pullMembers(ctx, r)
-			}
-		}
-	}
-}
-
-// catchUp queues pulls of members from random peers at short intervals, for catchUpTime
-// after the start.
-func (p *Peers) catchUp(ctx context.Context) error {
-	for end := p.now().Add(p.catchUpTime); p.now().Before(end) && wait.For(ctx, catchUpInterval); {
-		for _, b := range p.digestPeer() {
-			p.queuePull(pull{from: b, members: true})
-		}
-	}
-	return nil
-}
-
-// pullRevision fetches the revision of the peer and adopts it if it is newer.
-func (p *Peers) pullRevision(ctx context.Context, from member.Member) {
-	known := p.node.Config.Current()
-	r, err := p.fetch.Revision(ctx, from.Control, known)
-	if err != nil {
-		_ = level.Warn(p.log).Log("event", "pull_failed", "peer", from.Name, "err", err)
-		return
-	}
-	fetched := r.Order()
-	p.fetchedRevision.Store(&fetched)
-	if p.node.Config.Adopt(r) {
-		_ = level.Info(p.log).Log("event", "revision_adopted", "revision", r.Order(), "from", from.Name)
-	}
-}
-
-// PullMembers fetches the part of the peer's table that differs from this balancer's, and
-// merges it. Synced returns true after the first success.
-func (p *Peers) PullMembers(ctx context.Context, from member.Member) {
-	p.pullMembers(ctx, pull{from: from, members: true})
-}
-
-func (p *Peers) pullMembers(ctx context.Context, r pull) {
-	digests := p.node.Table.Snapshot().BucketDigests()
-	members, err := p.fetch.Members(ctx, r.from.Control, digests)
-	if err != nil {
-		_ = level.Warn(p.log).Log("event", "sync_failed", "peer", r.from.Name, "err", err)
-		return
-	}
-	for _, m := range members {
-		switch {
-		case p.isDoubtful(m, r.from):
-			p.learnReport(m, r.from)
-		case m.ID() == p.announcer.Self().ID():
-		case r.isBack && m.Domain == r.from.Domain:
-			p.Learn(m)
-		default:
-			// Other balancers compare digests too, so these changes are not spread again.
-			p.merge(m)
-		}
-	}
-	p.synced.Store(true)
-}
--- a/arbutus-balancer/balancer/learn.go
+++ b/arbutus-balancer/balancer/learn.go
@@ -68,6 +68,10 @@
 	if isBack(before, m) {
 		p.recordBack(m.Domain)
 	}
+	if !m.Phase.Alive() {
+		p.revisionLane.cancel(m.ID())
+		p.memberLane.cancel(m.ID())
+	}
 	_ = level.Info(p.log).Log(
 		"event", "member", "name", m.Name, "role", m.Role, "phase", m.Phase,
 		"domain", m.Domain, "service", m.Service, "instance", m.Instance, "version", m.Version,
--- a/arbutus-balancer/balancer/peers.go
+++ b/arbutus-balancer/balancer/peers.go
@@ -58,8 +58,6 @@
 	maxRumors = 256
 	// catchUpInterval is the interval between comparisons of tables after the start.
 	catchUpInterval = 80 * time.Millisecond
-	// pullQueue bounds the queued pulls.
-	pullQueue = 16
 )
 
 type (
@@ -72,7 +70,10 @@
 		fetch     Fetch
 		log       log.Logger
 		now       func() time.Time
-		pulls     chan pull
+		// pulls are sorted into the lanes, in which they run.
+		pulls        chan pull
+		revisionLane *lane
+		memberLane   *lane
 		// gossipNow triggers a gossip round.
 		gossipNow chan struct{}
 
@@ -170,6 +171,11 @@
 		viewDigests:      make(map[string]cachedDigest),
 	}
 	p.fetchedRevision.Store(new(config.Order))
+	p.revisionLane = newLane(revisionPatience, p.mayRespond, func(ctx context.Context, r pull) {
+		p.pullRevision(ctx, r.from)
+	})
+	p.revisionLane.onSlow = p.pullElsewhere
+	p.memberLane = newLane(memberPatience, p.mayRespond, p.pullMembers)
 	for _, opt := range opts {
 		opt(p)
 	}
@@ -252,7 +258,7 @@
 	})
 	known, _ = p.node.Table.Get(m.ID())
 	p.learnCosts(known, h)
-	if m.Role == member.Balancer && p.isNewer(config.OrderOf(h)) {
+	if p.learnRevision(config.OrderOf(h)) && m.Role == member.Balancer {
 		p.queuePull(pull{from: known, revision: true})
 	}
 	p.sendAck(from, p.buildAck(known, h))
@@ -326,7 +332,7 @@
 		return
 	}
 	p.queuePull(pull{from: known, members: !p.Synced()})
-	p.queuePull(pull{from: known, revision: p.isNewer(config.OrderOf(ack))})
+	p.queuePull(pull{from: known, revision: p.learnRevision(config.OrderOf(ack))})
 }
 
 // revisionAge returns the time since the store confirmed the revision in force as it is
@@ -348,9 +354,10 @@
 	}
 }
 
-// isNewer reports whether the revision comes after the one in force.
-func (p *Peers) isNewer(revision config.Order) bool {
-	return p.node.Config.Current().Order().Before(revision)
+// learnRevision records that a revision exists elsewhere, and reports whether it comes after the one in
+// force.
+func (p *Peers) learnRevision(revision config.Order) bool {
+	return p.node.Config.Announce(revision, p.now())
 }
 
 // handleNotice handles a member's notice of its own state and of the revision that it has
@@ -365,7 +372,7 @@
 	p.node.RecordContact(m.Domain, p.now())
 	p.Learn(m)
 	revision := config.OrderOf(n)
-	if !p.isNewer(revision) {
+	if !p.learnRevision(revision) {
 		return
 	}
 	if n.GetDomainOut() {
--- a/common/coordination/config/holder.go
+++ b/common/coordination/config/holder.go
@@ -5,6 +5,11 @@
 	"time"
 )
 
+// announcementLifetime is how long a process counts as behind after the last announcement of a later
+// revision: a process that has it in force announces it several times a second. It ends if all of them
+// have gone.
+const announcementLifetime = 4 * time.Second
+
 // RevisionHolder holds the revision that is in force in a process. Its order only
 // ever increases. It is safe for concurrent use.
 type RevisionHolder struct {
@@ -14,6 +19,10 @@
 	// confirmedAt is the latest time at which the store is known to have had no later
 	// revision than current; zero if that has never been confirmed.
 	confirmedAt time.Time
+	// announced is the latest order that another process or the store has announced, last at
+	// announcedAt.
+	announced   Order
+	announcedAt time.Time
 }
 
 // NewRevisionHolder returns a RevisionHolder without a revision in force.
@@ -56,6 +65,33 @@
 	}
 }
 
+// Announce records that a revision of the given order exists elsewhere, and reports whether that comes
+// after the one in force.
+func (h *RevisionHolder) Announce(revision Order, at time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !revision.Before(h.announced) || at.Sub(h.announcedAt) >= announcementLifetime {
+		h.announced, h.announcedAt = revision, at
+	}
+	return h.current.Order().Before(revision)
+}
+
+// Behind reports whether a later revision than the one in force is known to exist. That ends if it is
+// not announced for announcementLifetime.
+func (h *RevisionHolder) Behind(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.current.Order().Before(h.announced) && now.Sub(h.announcedAt) < announcementLifetime
+}
+
+// ConfirmedAt returns when the store was last known to have no later revision than the one in force;
+// zero if that has never been confirmed.
+func (h *RevisionHolder) ConfirmedAt() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.confirmedAt
+}
+
 // Age returns how long ago the store was last known to have no later revision than the
 // one in force. The second result is false if that has never been confirmed.
 func (h *RevisionHolder) Age(now time.Time) (time.Duration, bool) {
