Reset no flow for lack of a route that a later revision may have

Cause: Forwarder.refuse reset each flow to an endpoint without a route by the revision in force, although the balancer had heard of a later one. In the same way it would have reset an unclaimed flow whose route the later revision had moved to another service.

Change: ending.OfUnrouted decides from evidence. While a later revision is known to exist, no flow is reset, and packets without a route are buffered for it. Flows on a withdrawn route, and flows whose holder is remembered, are reset at once as before; any other one as soon as the store confirms the revision, or after the bound on changes. SYNs are still refused at once unless a later revision is known.

--- a/arbutus-balancer/fabric/forwarder.go
+++ b/arbutus-balancer/fabric/forwarder.go
@@ -33,6 +33,7 @@
 	"arbutusfront.dev/common/protocol/frame"
 	"arbutusfront.dev/common/protocol/ipv4"
 	"arbutusfront.dev/common/state/demand"
+	"arbutusfront.dev/common/state/ending"
 	"arbutusfront.dev/common/state/feature"
 	"arbutusfront.dev/common/state/placement"
 	"arbutusfront.dev/common/transport/datagram"
@@ -48,6 +49,10 @@
 	dropEndedRun  ipv4.Reason = "server_run_over"
 	dropAway      ipv4.Reason = "holder_away"
 	dropRefused   ipv4.Reason = "all_agents_refuse"
+	// dropBehind: there is no route, but a later revision exists that may have it.
+	dropBehind ipv4.Reason = "revision_behind"
+	// dropUnconfirmed: there is no route, and it is not known yet whether a later revision exists.
+	dropUnconfirmed ipv4.Reason = "revision_unconfirmed"
 )
 
 // contactCheckInterval is how often the forwarder checks that it is still in contact with
@@ -90,6 +95,8 @@
 		shedder *shedder
 		// drops counts the dropped packets by reason.
 		drops map[ipv4.Reason]tally.Counter
+		// revisionTime is that of WithRevisionTime.
+		revisionTime time.Duration
 		// skipsContactCheck allows forwarding without contact to another failure domain.
 		skipsContactCheck bool
 		// refusesUnconfigured disables the search for the holder of a flow while no
@@ -190,6 +197,7 @@
 		droppedAway:   scope.Tagged(map[string]string{"reason": string(dropAway)}).Counter("packets_dropped"),
 		drops:         make(map[ipv4.Reason]tally.Counter),
 		shedder:       newShedder(scope),
+		revisionTime:  ending.RevisionTime,
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -256,7 +264,7 @@
 }
 
 // encapsulate appends the capsule for the packet to out, and returns the address to
-// send it to. If the packet's endpoint has no route, or the flow's backend server has
+// send it to. If the packet's endpoint certainly has no route, or the flow's backend server has
 // restarted, it resets the flow and returns an error. Errors are of type ipv4.Reason.
 func (f *Forwarder) encapsulate(out, b []byte) ([]byte, netip.AddrPort, error) {
 	if !f.mayForward.Load() {
@@ -270,8 +278,7 @@
 	hash := placement.FlowHash(p.Key)
 	route, ok := routes.Lookup(p.Key.Service)
 	if !ok && !f.mayBeHeld(routes, p) {
-		f.refuse(routes, p)
-		return nil, netip.AddrPort{}, dropService
+		return nil, netip.AddrPort{}, f.refuse(routes, p)
 	}
 	to, err := f.findDestination(routes, route, p, hash)
 	if err != nil {
@@ -294,17 +301,6 @@
 	return capsule.AppendPacket(out, h, p.Bytes), to.agent.Packet, nil
 }
 
-// refuse resets a flow to an endpoint without a route, and counts it as refused. Without
-// a configuration all endpoints are unknown, so no flow is reset.
-func (f *Forwarder) refuse(routes *state.Routes, p frame.Frame) {
-	if routes.Revision.IsZero() {
-		return
-	}
-	if f.reset(p) {
-		f.refused.Inc(1)
-	}
-}
-
 // reset sends the caller a RST for its flow, and reports whether one was sent. None is
 // sent without WithCallers, or if the codec builds none for p.
 func (f *Forwarder) reset(p frame.Frame) bool {
@@ -327,7 +323,7 @@
 // message, buffers a packet that may become forwardable, and counts any other one as
 // dropped. Only the reading goroutine may call it: drops is not locked.
 func (f *Forwarder) handleUnforwarded(reason ipv4.Reason, b []byte) {
-	if reason == dropService && f.handleControl(b) {
+	if (reason == dropService || reason == dropBehind || reason == dropUnconfirmed) && f.handleControl(b) {
 		return
 	}
 	if f.pending != nil && f.mayBecomeForwardable(reason) && f.pending.add(b) {
--- a/arbutus-balancer/fabric/observe.go
+++ b/arbutus-balancer/fabric/observe.go
@@ -38,7 +38,7 @@
 // logReset logs that the flow of p was reset, with the reason and additional keyvals,
 // unless the sampler suppresses the line.
 func (f *Forwarder) logReset(p frame.Frame, reason string, keyvals ...any) {
-	if suppressed, ok := f.samplers.reset.Allow(f.placement.now()); ok {
+	if suppressed, ok := f.samplers.reset.Allow(f.now()); ok {
 		_ = level.Info(f.log).Log(append([]any{
 			"event", "flow_reset", "reason", reason, "caller", p.Key.Caller, "service", p.Key.Service, "left_out", suppressed,
 		}, keyvals...)...)
--- a/arbutus-balancer/fabric/pending.go
+++ b/arbutus-balancer/fabric/pending.go
@@ -73,7 +73,7 @@
 // be forwarded once more agents or the configuration are known.
 func (f *Forwarder) mayBecomeForwardable(reason ipv4.Reason) bool {
 	switch reason {
-	case dropNoAgent:
+	case dropNoAgent, dropBehind:
 		return true
 	case dropService:
 		return f.node.Routes().Revision.IsZero()
--- a/arbutus-balancer/fabric/placement.go
+++ b/arbutus-balancer/fabric/placement.go
@@ -44,6 +44,8 @@
 		without   disabled
 		now       func() time.Time
 		unclaimed *unclaimed.Set
+		// unrouted records when the first packet of a flow without a route arrived.
+		unrouted *unclaimed.Set
 		// mayReturn reports whether the next incarnation of an agent that has ended may
 		// still appear.
 		mayReturn func(agent string, now time.Time) bool
@@ -108,6 +110,7 @@
 		domain:     domain,
 		now:        time.Now,
 		unclaimed:  unclaimed.New(),
+		unrouted:   unclaimed.New(),
 		mayReturn:  mayReturn,
 		flows:      make(map[ipv4.FlowKey]*flowEntry),
 		agentLoads: make(map[string]*agentLoad),
@@ -289,6 +292,7 @@
 	}
 	p.lastExpired = now
 	p.unclaimed.Expire(now)
+	p.unrouted.Expire(now)
 	for key, entry := range p.flows {
 		if now.Sub(entry.usedAt) > flowLifetime {
 			delete(p.flows, key)
--- a/arbutus-balancer/fabric/unclaimed.go
+++ b/arbutus-balancer/fabric/unclaimed.go
@@ -35,7 +35,7 @@
 // the packet to an agent of the next service that may have the flow. If the last agent had no
 // configuration, and so could not pass the packet on, the next one of its service comes first.
 // Once no service is left to query, it resets the flow, after a delay if an agent may hold it
-// after all. A flow to an endpoint without a route is reset at once. A packet is dropped while
+// after all. A flow to an endpoint that certainly has no route is reset at once. A packet is dropped while
 // the flow's remembered agent may still return. Without a configuration, the agents are queried
 // one by one, and no flow is reset. HandleUnclaimed has no effect without WithPlacement.
 func (f *Forwarder) HandleUnclaimed(h capsule.Header, packet []byte) {
@@ -50,7 +50,7 @@
 		return
 	}
 	if !ok {
-		f.refuse(routes, p)
+		_ = f.refuse(routes, p)
 		return
 	}
 	if f.placement.holderIsAway(routes, p.Key) {
@@ -133,6 +133,7 @@
 		HopLimit:  h.Marks.Has(capsule.MarkHopLimit),
 		Away:      slices.ContainsFunc(first.Absent, func(name string) bool { return f.node.IsAway(name, now) }),
 		SinceJoin: now.Sub(f.node.LastJoin()),
+		Behind:    f.node.Config.Behind(now),
 		For:       now.Sub(first.At),
 	}
 	if evidence.Away {
--- a/arbutus-balancer/state/node.go
+++ b/arbutus-balancer/state/node.go
@@ -260,7 +260,9 @@
 	blockedUntil := maps.Clone(n.blockedUntil)
 	n.recordAgents(members)
 	n.mu.Unlock()
-	n.routes.Store(BuildRoutes(n.Config.Current(), members, blockedUntil))
+	routes := BuildRoutes(n.Config.Current(), members, blockedUntil)
+	routes.withdrawSince(n.Routes())
+	n.routes.Store(routes)
 }
 
 // recordAgents updates settledAgents, endedAgents and, if an agent was added or has entered or left
--- a/arbutus-balancer/state/routes.go
+++ b/arbutus-balancer/state/routes.go
@@ -23,6 +23,9 @@
 	"arbutusfront.dev/common/state/placement"
 )
 
+// maxWithdrawn bounds the endpoints that are remembered as withdrawn.
+const maxWithdrawn = 4096
+
 type (
 	// Target is a service with its agents, on its own or as a target of a route.
 	Target struct {
@@ -57,6 +60,8 @@
 		services   []*Target
 		byKey      map[capsule.ServiceKey]*Target
 		byInstance map[uint64]*Target
+		// withdrawn are the endpoints that had a route by an earlier revision and have none now.
+		withdrawn map[netip.AddrPort]bool
 	}
 )
 
@@ -188,6 +193,31 @@
 	return route, ok
 }
 
+// IsWithdrawn reports whether an earlier revision that was in force here had a route for the endpoint,
+// and the one in force has none.
+func (r *Routes) IsWithdrawn(endpoint netip.AddrPort) bool { return r.withdrawn[endpoint] }
+
+// withdrawSince records the endpoints that had a route by the earlier routes, or that were withdrawn by
+// then, and that have none now.
+func (r *Routes) withdrawSince(earlier *Routes) {
+	if earlier.Revision == r.Revision {
+		r.withdrawn = earlier.withdrawn
+		return
+	}
+	r.withdrawn = make(map[netip.AddrPort]bool)
+	add := func(endpoint netip.AddrPort) {
+		if _, ok := r.byEndpoint[endpoint]; !ok && len(r.withdrawn) < maxWithdrawn {
+			r.withdrawn[endpoint] = true
+		}
+	}
+	for endpoint := range earlier.byEndpoint {
+		add(endpoint)
+	}
+	for endpoint := range earlier.withdrawn {
+		add(endpoint)
+	}
+}
+
 // Targets returns the services that may hold a flow of the route: first the target that
 // the flow's hash selects, then the other targets, then up to maxOthers further
 // services. The latter are included because flows remain at their service when the
--- a/arbutus-balancer/store/watcher.go
+++ b/arbutus-balancer/store/watcher.go
@@ -282,6 +282,7 @@
 		}
 		return e.Version, nil
 	}
+	w.node.Config.Announce(config.OrderOf(&head), time.Now())
 	values, err := config.ReadChunks(ctx, w.client, known, &head)
 	if err != nil {
 		return version, err
--- a/common/state/ending/ending.go
+++ b/common/state/ending/ending.go
@@ -29,6 +29,9 @@
 	// ResetDelay is how long a flow is unclaimed before it is reset if an agent may hold it
 	// after all.
 	ResetDelay = 1500 * time.Millisecond
+	// RevisionTime is how long it may take until a balancer learns that a later revision of the
+	// configuration is in force, unless the deployment states another time.
+	RevisionTime = 3 * time.Second
 )
 
 // Verdicts.
@@ -72,10 +75,31 @@
 		Away bool
 		// SinceJoin is how long ago an agent last joined or left the joining phase.
 		SinceJoin time.Duration
+		// Behind is set if a later revision of the configuration is known to exist. By that
+		// one, agents that could not be asked may hold the flow.
+		Behind bool
 		// For is how long the flow has been unclaimed, not counting the time until Away was
 		// last set.
 		For time.Duration
 	}
+
+	// Unrouted is what a balancer knows of a flow to an endpoint that has no route by the
+	// revision in force there.
+	Unrouted struct {
+		// Opens is set if the packet is a SYN, so that no open flow ends with it.
+		Opens bool
+		// Behind is set if a later revision is known to exist, which may have the route.
+		Behind bool
+		// Withdrawn is set if an earlier revision had the route, or the balancer has known a
+		// holder of the flow.
+		Withdrawn bool
+		// Confirmed is set if no later revision existed when the flow's first packet without a
+		// route arrived, or at a later time.
+		Confirmed bool
+		// For is how long ago that packet arrived, RevisionTime the time after which a later
+		// revision would be known.
+		For, RevisionTime time.Duration
+	}
 )
 
 // OfHolder returns whether the flows of the holder have ended.
@@ -93,8 +117,16 @@
 // OfUnclaimed returns whether the flow has ended. It never returns PassOn.
 func OfUnclaimed(u Unclaimed) Verdict {
 	doubtful := u.Uncertain || u.SinceJoin < SettleTime || u.HopLimit && u.SinceJoin < RepublishTime
-	if u.Away || doubtful && u.For < ResetDelay {
+	if u.Away || u.Behind || doubtful && u.For < ResetDelay {
 		return Wait
 	}
 	return Reset
 }
+
+// OfUnrouted returns whether the flow has ended because it has no route. It never returns PassOn.
+func OfUnrouted(u Unrouted) Verdict {
+	if !u.Behind && (u.Opens || u.Withdrawn || u.Confirmed || u.For >= u.RevisionTime) {
+		return Reset
+	}
+	return Wait
+}
