Keep the holder that the caller accepted when a late report names another

An agent that was stopped with a flow's SYN in its socket reports a SYN-ACK when it wakes, although the flow has opened at another agent meanwhile. The balancer believed the last report.

Change: a report says whether the handshake is over and, if not, which acknowledgment number would accept the SYN-ACK (a flag in a byte that was 0, and a field that was 0 then, so the layout is the same). A report from the handshake does not replace a holder, nor an earlier such report; the caller's acknowledgment number decides. An entry whose SYN-ACK was not accepted is no evidence: it resets no flow, holds up no packets, and is not handed to the balancer's next run. An old copy of a SYN no longer moves an open flow, a late report of an earlier run is ignored.

TestSYNOpensFlow expects the new fields in the report as well.

--- a/arbutus-agent/passthrough/engine_test.go
+++ b/arbutus-agent/passthrough/engine_test.go
@@ -28,6 +28,7 @@
 	g.Expect(r.forwarded).To(HaveLen(1), "the holder is reported to the balancer")
 	g.Expect(r.forwarded[0].held).To(Equal(capsule.Held{
 		Key: r.opened[0], Instance: r.self.Instance, Flows: 1, Requests: 1, Slots: 4, ServerRun: uint64(r.now.UnixMilli()),
+		Handshaking: true, Acknowledgment: serverISN + 1,
 	}))
 }
 
--- a/arbutus-agent/passthrough/flow.go
+++ b/arbutus-agent/passthrough/flow.go
@@ -213,7 +213,8 @@
 }
 
 // sendHeld reports to the balancer that first forwarded the packet that this agent holds
-// the flow. e.mu must be held.
+// the flow or, during the handshake, that it will if the caller accepts its SYN-ACK. e.mu must be
+// held.
 func (e *Engine) sendHeld(f *flow, origin netip.AddrPort) {
 	if !origin.IsValid() {
 		return
@@ -221,6 +222,10 @@
 	l, slots := e.load(), e.server.Slots()
 	now := e.now()
 	e.dueReports.recordReport(origin, l.Requests, slots, now)
+	acknowledgment := f.acknowledged
+	if f.stage == handshaking {
+		acknowledgment = f.serverISN + 1
+	}
 	b := capsule.AppendHeld(nil, capsule.Held{
 		Key:            f.key,
 		Instance:       e.self().Instance,
@@ -228,7 +233,8 @@
 		Requests:       uint32(l.Requests),
 		Slots:          uint32(slots),
 		ServerRun:      e.server.RunStartedMillis(),
-		Acknowledgment: f.acknowledged,
+		Handshaking:    f.stage == handshaking,
+		Acknowledgment: acknowledgment,
 		Estimate:       e.estimateFor(origin, now),
 	})
 	e.checkSend(origin, e.forward(b, origin))
--- a/arbutus-agent/passthrough/reports_test.go
+++ b/arbutus-agent/passthrough/reports_test.go
@@ -74,3 +74,33 @@
 	g.Expect(r.engine.Load().Flows).To(BeZero())
 	g.Expect(r.engine.flows).To(BeEmpty())
 }
+
+// TestReportSaysWhetherSYNACKIsAccepted guards against a balancer that takes an agent for the holder of a
+// flow whose caller may accept another backend server's SYN-ACK: the report says that the handshake isn't
+// over, and which acknowledgment number would end it.
+func TestReportSaysWhetherSYNACKIsAccepted(t *testing.T) {
+	g, r := NewWithT(t), newHarness(t)
+	r.announce(nil)
+	syn := segment(1, ipv4.FlagSYN, callerISN, 0, 0)
+	r.fromCaller(syn, 0)
+	r.fromServer(segment(1, ipv4.FlagSYN|ipv4.FlagACK, serverISN, callerISN+1, 0))
+	r.fromCaller(syn, 0)
+	r.fromCaller(segment(1, ipv4.FlagACK, callerISN+1, serverISN+1, 0), capsule.MarkReportHolder)
+	r.fromCaller(segment(1, ipv4.FlagACK, callerISN+1, serverISN+51, 0), capsule.MarkReportHolder)
+	var reports []capsule.Held
+	for _, f := range r.forwarded {
+		if f.kind == capsule.KindHeld {
+			reports = append(reports, f.held)
+		}
+	}
+	g.Expect(reports).To(HaveLen(4))
+	for i, want := range []capsule.Held{
+		{Handshaking: true, Acknowledgment: serverISN + 1},
+		{Handshaking: true, Acknowledgment: serverISN + 1},
+		{Acknowledgment: serverISN + 1},
+		{Acknowledgment: serverISN + 51},
+	} {
+		g.Expect(reports[i].Handshaking).To(Equal(want.Handshaking))
+		g.Expect(reports[i].Acknowledgment).To(Equal(want.Acknowledgment))
+	}
+}
--- a/arbutus-balancer/fabric/destination.go
+++ b/arbutus-balancer/fabric/destination.go
@@ -111,8 +111,8 @@
 }
 
 // mayReturnTo reports whether the entry names a holder and the holder's agent, which is not alive,
-// may return. An entry that no agent has confirmed, in this run of the balancer or the one
-// before, names no holder. mu must be held.
+// may return. An entry that names an agent whose SYN-ACK the caller may not have accepted names no
+// holder. mu must be held.
 func (p *placements) mayReturnTo(e *flowEntry) bool {
-	return !p.without.rememberedFlows && (e.confirmed || e.serverRun != 0) && p.mayReturn(e.agent, p.now())
+	return !p.without.rememberedFlows && e.accepted && p.mayReturn(e.agent, p.now())
 }
--- a/arbutus-balancer/fabric/placement.go
+++ b/arbutus-balancer/fabric/placement.go
@@ -90,11 +90,17 @@
 		// sequence is the sequence number of the SYN; 0 if place did not add the entry.
 		sequence uint32
 		// acknowledged is the caller's last acknowledgment number, 0 if none was seen.
-		// closed is set once the caller has sent a FIN or RST.
 		acknowledged uint32
-		closed       bool
-		// confirmed is set once the agent has reported that it holds the flow.
+		// accepting is the acknowledgment number that accepts the SYN-ACK that the agent has
+		// reported; 0 if it has reported none.
+		accepting uint32
+		// closed is set once the caller has sent a FIN or RST.
+		closed bool
+		// confirmed is set once the agent has reported that it holds the flow, or a SYN-ACK.
 		confirmed bool
+		// accepted is set once the agent certainly holds the flow: the caller has accepted
+		// its SYN-ACK, or the agent has reported it after that.
+		accepted bool
 		// sentAt is when the flow's first SYN to this agent was sent. usedAt is when the
 		// flow last had a packet or a report, or was restored.
 		sentAt time.Time
@@ -123,8 +129,9 @@
 // place returns where to forward a SYN, and remembers the agent. A retransmitted SYN goes
 // to the same agent as the first SYN, unless that agent is no longer alive or did not
 // report in time that it holds the flow. place also removes expired entries. Its errors are
-// dropNoAgent if there is no target or agent for a new flow, and dropRefused if all agents
-// refuse flows of its request class.
+// dropNoAgent if there is no target or agent for a new flow, dropRefused if all agents
+// refuse flows of its request class, and dropAway for a late copy of the SYN of a flow whose agent
+// is no longer alive.
 func (p *placements) place(route *state.Route, f frame.Frame, hash uint64) (destination, error) {
 	target, ok := route.Pick(hash)
 	if !ok {
@@ -142,6 +149,8 @@
 		}
 	} else if c, same := p.reuseAgent(entry, target, now); same {
 		return p.newFlow(target, c), nil
+	} else if entry.accepted {
+		return destination{}, dropAway
 	}
 	c, err := p.chooseByLoad(target, hash, entry.tried, now)
 	if err != nil {
@@ -164,14 +173,18 @@
 
 // reuseAgent returns the agent that an earlier SYN of the flow was sent to. If the agent
 // is no longer alive or did not report in time that it holds the flow, reuseAgent returns
-// false, excludes the agent for this SYN and its retransmissions and, unless the agent had
-// confirmed the flow, marks it as suspect. mu must be held.
+// false. Unless the caller has accepted the agent's SYN-ACK, it then excludes the agent for this SYN
+// and its retransmissions and, if the agent had not confirmed the flow, marks it as suspect. mu must
+// be held.
 func (p *placements) reuseAgent(entry *flowEntry, target *state.Target, now time.Time) (*placement.Candidate, bool) {
 	c, alive := target.Agents.ByName(entry.agent)
 	if alive && (entry.confirmed || now.Sub(entry.sentAt) < reportTimeout || p.hasEstimateSince(c.Name, entry.sentAt)) {
 		entry.usedAt = now
 		return c, true
 	}
+	if entry.accepted {
+		return nil, false
+	}
 	if !entry.confirmed {
 		p.ensureAgentLoad(entry.agent).suspectUntil = now.Add(suspectTime)
 	}
@@ -190,6 +203,7 @@
 	if entry == nil || p.without.rememberedFlows {
 		return destination{}, holderUnknown
 	}
+	entry.recordPacket(f)
 	t, known := routes.Target(entry.service)
 	if !known {
 		return destination{}, holderUnknown
@@ -207,13 +221,15 @@
 		return destination{}, holderEnded
 	}
 	entry.usedAt = p.now()
-	entry.recordPacket(f)
 	d := destination{target: t, agent: c}
-	if c.Instance != entry.instance || !entry.confirmed {
+	switch {
+	case c.Instance != entry.instance || !entry.confirmed:
 		// This incarnation of the agent has not reported that it holds the flow.
 		// MarkReportHolder requests the report. MarkHolderKnown tells the agent that,
 		// by this balancer's records, its backend server has the flow.
 		d.marks = capsule.MarkReportHolder | capsule.MarkHolderKnown
+	case !entry.accepted:
+		d.marks = capsule.MarkReportHolder
 	}
 	return d, holderAlive
 }
@@ -226,7 +242,8 @@
 	}
 }
 
-// recordHolder records h. It also ends the search for the holder and c's suspect time.
+// recordHolder records h, unless a holder is known that rules it out. It also ends the search for the
+// holder and c's suspect time.
 func (p *placements) recordHolder(t *state.Target, c *placement.Candidate, h capsule.Held) {
 	p.unclaimed.Remove(h.Key)
 	p.mu.Lock()
@@ -243,10 +260,10 @@
 		entry = new(flowEntry)
 		p.flows[h.Key] = entry
 	}
-	entry.agent, entry.service, entry.instance = c.Name, t.Key, c.Instance
-	entry.serverRun = h.ServerRun
-	entry.recordAcknowledged(h.Acknowledgment)
-	entry.confirmed, entry.usedAt = true, now
+	if entry.accepts(c.Name, h) {
+		entry.recordClaim(c.Name, h)
+		entry.service, entry.instance, entry.usedAt = t.Key, c.Instance, now
+	}
 }
 
 // recordQueried records that the service was queried for the flow's holder without
@@ -264,7 +281,7 @@
 	}
 	if e := p.flows[key]; e != nil {
 		t, known := routes.Target(e.service)
-		if known && e.confirmed && e.service == service {
+		if known && e.accepted && e.service == service {
 			_, s.returnedByHolder = t.Agents.ByName(e.agent)
 		}
 		delete(p.flows, key)
--- a/arbutus-balancer/fabric/remembered.go
+++ b/arbutus-balancer/fabric/remembered.go
@@ -93,16 +93,18 @@
 }
 
 // hasEnded reports whether the backend server of the flow's agent c has restarted since it
-// took the flow. It is false if the run that took the flow is unknown.
+// took the flow. It is false if the run that took the flow is unknown, or if the caller may have
+// accepted another agent's SYN-ACK.
 func (p *placements) hasEnded(e *flowEntry, c *placement.Candidate) bool {
-	return e.serverRun != 0 && c.ServerRun > e.serverRun && !p.without.runResets
+	return e.accepted && e.serverRun != 0 && c.ServerRun > e.serverRun && !p.without.runResets
 }
 
 // recordPacket updates the entry with the acknowledgment number and flags of a caller's
-// packet.
+// packet, and with whether it accepts the agent's SYN-ACK.
 func (e *flowEntry) recordPacket(f frame.Frame) {
 	if f.Flags.Has(ipv4.FlagACK) {
 		e.recordAcknowledged(f.Acknowledgment)
+		e.accepted = e.accepted || e.confirmed && isAccepted(e.accepting, f.Acknowledgment)
 	}
 	if f.Flags&(ipv4.FlagFIN|ipv4.FlagRST) != 0 {
 		e.closed = true
@@ -117,11 +119,11 @@
 	}
 }
 
-// isResettable reports whether the flow is open as far as is known, and the backend
+// isResettable reports whether the flow is open as far as is known, and its holder, the backend
 // server's run and the caller's acknowledgment number, which a reset must match, are
 // known.
 func (e *flowEntry) isResettable() bool {
-	return e.serverRun != 0 && e.acknowledged != 0 && !e.closed
+	return e.accepted && e.serverRun != 0 && e.acknowledged != 0 && !e.closed
 }
 
 // remembered returns the flows of collect, ordered by agent, service, run and flow key.
@@ -168,6 +170,7 @@
 		}
 		p.flows[r.Key] = &flowEntry{
 			agent: r.Agent, service: r.Service, serverRun: r.ServerRun, acknowledged: r.Acknowledged, usedAt: now,
+			accepted: true,
 		}
 	}
 	p.checkedRoutes, p.resetsDeferred = nil, true
--- a/arbutus-balancer/fabric/unrouted.go
+++ b/arbutus-balancer/fabric/unrouted.go
@@ -58,7 +58,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := p.flows[key]
-	return e != nil && (e.confirmed || e.serverRun != 0)
+	return e != nil && e.accepted
 }
 
 // now returns the time by which flows are judged.
--- a/common/protocol/capsule/capsule.go
+++ b/common/protocol/capsule/capsule.go
@@ -23,8 +23,9 @@
 // balancer in a datagram of KindLoad.
 //
 // Datagrams of KindControl, KindHeld and KindLoad have only the first four bytes of the
-// header. The latter two may end with an Estimate, which only origins that set MarkEstimates
-// receive: earlier versions of this program reject longer reports.
+// header, of which the last one contains flags in a datagram of KindHeld. The latter two may end
+// with an Estimate, which only origins that set MarkEstimates receive: earlier versions of this
+// program reject longer reports.
 package capsule
 
 import (
@@ -52,6 +53,9 @@
 	runBytes      = 8
 
 	acknowledgmentBytes = 4
+
+	// flagHandshaking is set in the fourth byte of a datagram of KindHeld for Held.Handshaking.
+	flagHandshaking = 1
 )
 
 // Kinds of datagrams.
@@ -152,8 +156,12 @@
 		// ServerRun is when the backend server started, as a Unix time in
 		// milliseconds; 0 if that is not known.
 		ServerRun uint64
-		// Acknowledgment is the last acknowledgment number of the caller; 0 if there
-		// was none.
+		// Handshaking is set if the backend server has sent a SYN-ACK that the caller has
+		// not accepted. Another backend server may have sent one too, for a copy of the
+		// SYN.
+		Handshaking bool
+		// Acknowledgment is the last acknowledgment number of the caller, or 0 if there
+		// was none. While Handshaking, it is the one that accepts the SYN-ACK.
 		Acknowledgment uint32
 		// Estimate is nil if the agent has none, or the balancer reads none.
 		Estimate *Estimate
@@ -282,7 +290,7 @@
 
 // AppendHeld appends a datagram of KindHeld to b.
 func AppendHeld(b []byte, h Held) []byte {
-	b = append(b, magic, version, uint8(KindHeld), 0)
+	b = append(b, magic, version, uint8(KindHeld), heldFlags(h))
 	b = h.Key.Append(b)
 	b = binary.BigEndian.AppendUint64(b, h.Instance)
 	b = binary.BigEndian.AppendUint32(b, h.Flows)
@@ -293,6 +301,13 @@
 	return h.Estimate.append(b)
 }
 
+func heldFlags(h Held) uint8 {
+	if h.Handshaking {
+		return flagHandshaking
+	}
+	return 0
+}
+
 // ParseHeld decodes a datagram of KindHeld. Errors are of class Error.
 func ParseHeld(b []byte) (Held, error) {
 	k, err := KindOf(b)
@@ -306,6 +321,7 @@
 	if err != nil {
 		return Held{}, err
 	}
+	handshaking := b[3]&flagHandshaking != 0
 	b = b[prefixBytes:]
 	key, _ := ipv4.DecodeFlowKey(b[:ipv4.FlowKeyBytes])
 	b = b[ipv4.FlowKeyBytes:]
@@ -316,6 +332,7 @@
 		Requests:       binary.BigEndian.Uint32(b[instanceBytes+4:]),
 		Slots:          binary.BigEndian.Uint32(b[instanceBytes+8:]),
 		ServerRun:      binary.BigEndian.Uint64(b[instanceBytes+12:]),
+		Handshaking:    handshaking,
 		Acknowledgment: binary.BigEndian.Uint32(b[instanceBytes+12+runBytes:]),
 		Estimate:       estimate,
 	}, nil
--- a/common/protocol/capsule/estimate_test.go
+++ b/common/protocol/capsule/estimate_test.go
@@ -38,9 +38,10 @@
 	for i := range maxRefusals {
 		full.Refusals = append(full.Refusals, Refusal{Class: uint8(i), Own: time.Duration(i) * time.Millisecond})
 	}
-	for _, e := range []*Estimate{nil, {}, &sampleEstimate, &full} {
+	for i, e := range []*Estimate{nil, {}, &sampleEstimate, &full} {
 		g := NewWithT(t)
 		held, load := sampleHeld, sampleLoad
+		held.Handshaking = i%2 == 0
 		held.Estimate, load.Estimate = e, e
 		parsedHeld, err := ParseHeld(AppendHeld(nil, held))
 		g.Expect(err).NotTo(HaveOccurred())
