--- a/arbutus-balancer/fabric/forwarder.go
+++ b/arbutus-balancer/fabric/forwarder.go
@@ -202,6 +202,9 @@
 	for _, opt := range opts {
 		opt(f)
 	}
+	if f.placement != nil {
+		f.placement.reportsIgnored = scope.Counter("holder_reports_ignored")
+	}
 	return f
 }
 
--- a/arbutus-balancer/fabric/placement.go
+++ b/arbutus-balancer/fabric/placement.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"arbutusfront.dev/arbutus-balancer/state"
 	"arbutusfront.dev/common/protocol/capsule"
 	"arbutusfront.dev/common/protocol/frame"
@@ -49,6 +51,8 @@
 		// mayReturn reports whether the next incarnation of an agent that has ended may
 		// still appear.
 		mayReturn func(agent string, now time.Time) bool
+		// reportsIgnored counts reports that did not replace what is known of a flow's holder.
+		reportsIgnored tally.Counter
 
 		mu          sync.Mutex
 		flows       map[ipv4.FlowKey]*flowEntry
@@ -113,11 +117,14 @@
 
 func newPlacements(domain string, mayReturn func(agent string, now time.Time) bool) *placements {
 	return &placements{
-		domain:     domain,
-		now:        time.Now,
-		unclaimed:  unclaimed.New(),
-		unrouted:   unclaimed.New(),
-		mayReturn:  mayReturn,
+		domain:    domain,
+		now:       time.Now,
+		unclaimed: unclaimed.New(),
+		unrouted:  unclaimed.New(),
+		mayReturn: mayReturn,
+
+		reportsIgnored: tally.NoopScope.Counter("holder_reports_ignored"),
+
 		flows:      make(map[ipv4.FlowKey]*flowEntry),
 		agentLoads: make(map[string]*agentLoad),
 
@@ -260,10 +267,12 @@
 		entry = new(flowEntry)
 		p.flows[h.Key] = entry
 	}
-	if entry.accepts(c.Name, h) {
-		entry.recordClaim(c.Name, h)
-		entry.service, entry.instance, entry.usedAt = t.Key, c.Instance, now
+	if !entry.accepts(c.Name, h) {
+		p.reportsIgnored.Inc(1)
+		return
 	}
+	entry.recordClaim(c.Name, h)
+	entry.service, entry.instance, entry.usedAt = t.Key, c.Instance, now
 }
 
 // recordQueried records that the service was queried for the flow's holder without
