Reset no flow of a run that its agent did not know yet

Callers would see: flows that a restarted backend server has just taken are reset by balancers, while it serves.

Cause: reports name the run that the agent knows. Until it has read the announcement of a new run, it reports flows of that run with the earlier one, and the balancers then took them for flows of an ended run.

Change: while the incarnation that has reported the flow runs, and the balancer learned of the new run within 3 s after the flow's SYN or first report, the holder is uncertain: the next packet asks for a report. The agent resets the flows that have ended; it knows when each began.

Four tests held a flow and announced the restart at the same instant, so that their flow might be one of the new run; 3 s now pass in between.

--- a/arbutus-balancer/fabric/claims_test.go
+++ b/arbutus-balancer/fabric/claims_test.go
@@ -62,6 +62,7 @@
 				d.forwarder.resetFlowsOfEndedRuns()
 				g.Expect(d.resets).To(BeZero())
 				g.Expect(d.forward(ack).to).To(Equal(holder.Packet))
+				d.now = d.now.Add(announcementTime)
 				d.announceRun(holder, secondRun)
 				d.forwarder.resetFlowsOfEndedRuns()
 				g.Expect(d.resets).To(Equal(1), "the holder's backend server has restarted")
--- a/arbutus-balancer/fabric/features_test.go
+++ b/arbutus-balancer/fabric/features_test.go
@@ -46,6 +46,7 @@
 		{feature.RunResets, 1, 0, func(d *testBalancer) int {
 			one := d.announceRun(north, firstRun)
 			d.holdFlow(1, one, firstRun)
+			d.now = d.now.Add(announcementTime)
 			d.announceRun(one, secondRun)
 			d.forwarder.resetFlowsOfEndedRuns()
 			return d.resets
@@ -53,6 +54,7 @@
 		{feature.ResetPacing, 0, 1, func(d *testBalancer) int {
 			one := d.announceRun(north, firstRun)
 			d.holdFlow(1, one, firstRun)
+			d.now = d.now.Add(announcementTime)
 			for _, m := range d.node.Table.Snapshot().Members {
 				d.node.Table.Merge(m.WithPhase(member.Joining))
 			}
--- a/arbutus-balancer/fabric/placement.go
+++ b/arbutus-balancer/fabric/placement.go
@@ -63,10 +63,16 @@
 		// servers, and serverRuns the latest runs, by agent name. resetsDeferred is set
 		// while flows of earlier runs may still have to be reset.
 		checkedRoutes  *state.Routes
-		serverRuns     map[string]uint64
+		serverRuns     map[string]serverRun
 		resetsDeferred bool
 	}
 
+	// serverRun is a run of a backend server, and when the balancer learned of it.
+	serverRun struct {
+		run       uint64
+		learnedAt time.Time
+	}
+
 	// disabled are the mechanisms that are switched off.
 	disabled struct {
 		rememberedFlows, lessLoaded, ownDomainFirst, runResets, resetPacing, entryRefusal, expectedTime bool
@@ -105,8 +111,9 @@
 		// accepted is set once the agent certainly holds the flow: the caller has accepted
 		// its SYN-ACK, or the agent has reported it after that.
 		accepted bool
-		// sentAt is when the flow's first SYN to this agent was sent. usedAt is when the
-		// flow last had a packet or a report, or was restored.
+		// sentAt is when the flow's first SYN to this agent was sent or, without one, when the
+		// first report arrived; zero if the flow was restored. usedAt is when the flow last had a
+		// packet or a report, or was restored.
 		sentAt time.Time
 		usedAt time.Time
 		// tried are the agents that did not report in time that they hold the flow, or
@@ -129,7 +136,7 @@
 		agentLoads: make(map[string]*agentLoad),
 
 		searches:   make(map[ipv4.FlowKey]*search),
-		serverRuns: make(map[string]uint64),
+		serverRuns: make(map[string]serverRun),
 	}
 }
 
@@ -264,7 +271,7 @@
 		if len(p.flows) >= maxFlows {
 			return
 		}
-		entry = new(flowEntry)
+		entry = &flowEntry{sentAt: now}
 		p.flows[h.Key] = entry
 	}
 	if !entry.accepts(c.Name, h) {
--- a/arbutus-balancer/fabric/remembered.go
+++ b/arbutus-balancer/fabric/remembered.go
@@ -24,6 +24,9 @@
 	// packets wait for the lock while the flows are collected, and the flows are stored
 	// as one value of at most 1 MB.
 	maxRemembered = 48_000
+	// announcementTime is how long an agent may take to learn that its backend server has restarted:
+	// some intervals of its announcements. Reports name the earlier run until then.
+	announcementTime = 3 * time.Second
 )
 
 // RememberedFlow is a flow and its holder, which one run of a balancer hands to the next.
@@ -94,9 +97,28 @@
 
 // hasEnded reports whether the backend server of the flow's agent c has restarted since it
 // took the flow. It is false if the run that took the flow is unknown, or if the caller may have
-// accepted another agent's SYN-ACK.
+// accepted another agent's SYN-ACK. If the present run may have taken the flow, the holder becomes
+// uncertain, so that the next packet asks for a report. mu must be held.
 func (p *placements) hasEnded(e *flowEntry, c *placement.Candidate) bool {
-	return e.accepted && e.serverRun != 0 && c.ServerRun > e.serverRun && !p.without.runResets
+	if !e.accepted || e.serverRun == 0 || c.ServerRun <= e.serverRun || p.without.runResets {
+		return false
+	}
+	if p.mayBeOfPresentRun(e, c) {
+		e.accepted, e.accepting = false, 0
+		return false
+	}
+	return true
+}
+
+// mayBeOfPresentRun reports whether the agent's present run may have taken the flow although the agent has
+// reported an earlier one: it may not have known of the restart yet. If so, the agent itself resets the
+// flows of the earlier run, as it knows when each began. mu must be held.
+func (p *placements) mayBeOfPresentRun(e *flowEntry, c *placement.Candidate) bool {
+	learnedAt := p.now()
+	if r := p.serverRuns[c.Name]; r.run == c.ServerRun {
+		learnedAt = r.learnedAt
+	}
+	return e.instance == c.Instance && learnedAt.Sub(e.sentAt) < announcementTime
 }
 
 // recordPacket updates the entry with the acknowledgment number and flags of a caller's
@@ -215,10 +237,11 @@
 // any of them has restarted. mu must be held.
 func (p *placements) recordServerRuns(routes *state.Routes) bool {
 	restarted := false
+	now := p.now()
 	for name, run := range routes.ServerRuns() {
-		if run > p.serverRuns[name] {
+		if run > p.serverRuns[name].run {
 			restarted = true
-			p.serverRuns[name] = run
+			p.serverRuns[name] = serverRun{run: run, learnedAt: now}
 		}
 	}
 	return restarted
--- a/arbutus-balancer/fabric/remembered_test.go
+++ b/arbutus-balancer/fabric/remembered_test.go
@@ -67,12 +67,44 @@
 	g, d := NewWithT(t), newTestBalancer(t)
 	one := d.announceRun(agentOf("desk", "north", 1), firstRun)
 	d.holdFlow(1, one, firstRun)
+	d.now = d.now.Add(announcementTime)
 	d.announceRun(one, secondRun)
 	_, _, err := d.forwarder.encapsulate(nil, packetOf(1, splitEndpoint, ipv4.FlagACK, 1))
 	g.Expect(err).To(MatchError(dropEndedRun))
 	g.Expect(d.resets).To(Equal(1))
 }
 
+// TestFlowOfUnannouncedRunIsNotReset guards against the reset of a flow that a backend server has taken
+// after its restart, while its agent did not know of that and reported the earlier run. The agent resets the
+// flows of the earlier run itself, but only as long as it runs: an older flow is reset here, and so is one
+// that an earlier incarnation of the agent has reported.
+func TestFlowOfUnannouncedRunIsNotReset(t *testing.T) {
+	g, d := NewWithT(t), newTestBalancer(t)
+	one := d.announceRun(agentOf("desk", "north", 1), firstRun)
+	d.forwarder.resetFlowsOfEndedRuns()
+	two := d.announceRun(agentOf("desk", "north", 2), firstRun)
+	d.holdFlow(1, one, firstRun)
+	d.holdFlow(2, two, firstRun)
+	d.now = d.now.Add(announcementTime - time.Millisecond)
+	d.holdFlow(3, one, firstRun)
+	d.holdFlow(4, one, firstRun)
+	d.now = d.now.Add(time.Millisecond)
+	one = d.announceRun(one, secondRun)
+	two.Instance++
+	d.announceRun(two, secondRun)
+	packet := packetOf(3, splitEndpoint, ipv4.FlagACK, 1)
+	g.Expect(d.forward(packet).h.Marks.Has(capsule.MarkReportHolder)).To(BeTrue())
+	d.forwarder.resetFlowsOfEndedRuns()
+	g.Expect(d.resets).To(Equal(2), "flows 1 and 2")
+	g.Expect(d.forward(packet).h.Marks.Has(capsule.MarkReportHolder)).To(BeTrue())
+	g.Expect(d.forwarder.RememberedFlows()).To(BeEmpty(), "their run is uncertain")
+	d.holdFlow(3, one, secondRun)
+	d.now = d.now.Add(announcementTime)
+	d.forwarder.resetFlowsOfEndedRuns()
+	g.Expect(d.resets).To(Equal(2))
+	g.Expect(d.forwarder.RememberedFlows()).To(HaveLen(1))
+}
+
 // TestEarlierServerRunIsIgnored guards against resets when an agent announces an earlier
 // run than the one that holds the flow, as with a delayed announcement or a clock that
 // was set back.
@@ -100,6 +132,7 @@
 			d.node.Table.Merge(known.WithPhase(member.Joining))
 		}
 	}
+	d.now = d.now.Add(announcementTime)
 	known, _ := d.node.Table.Get(one.ID())
 	one = d.announceRun(known, secondRun)
 	d.forwarder.resetFlowsOfEndedRuns()
