Let an agent pull its view beside a balancer that does not respond

What callers could see: requests handled by an older version for up to 3 s, by an agent whose balancer went dark between its acknowledgment and the call.

Cause: the agent's pulls ran one after the other, 3 s each at most.

It asks the next balancer after 0.4 s; the interval between two pulls is as before.

TestViewPulledBesideSilentBalancer failed before.

--- a/arbutus-agent/balancer/balancer.go
+++ b/arbutus-agent/balancer/balancer.go
@@ -23,11 +23,17 @@
 	"arbutusfront.dev/common/coordination/heartbeat"
 	"arbutusfront.dev/common/coordination/peer"
 	controlv1 "arbutusfront.dev/common/protocol/gen/arbutus/control/v1"
+	"arbutusfront.dev/common/transport/lane"
 	"arbutusfront.dev/common/transport/wait"
 )
 
-// minPullInterval is the shortest time between two pulls.
-const minPullInterval = 100 * time.Millisecond
+const (
+	// minPullInterval is the shortest time between two pulls.
+	minPullInterval = 100 * time.Millisecond
+	// pullPatience is how long a pull and the interval after it may take before another balancer is
+	// asked too.
+	pullPatience = 400 * time.Millisecond
+)
 
 // Client synchronizes the agent's view with those of its balancers.
 type Client struct {
@@ -35,7 +41,7 @@
 	announcer *heartbeat.Announcer
 	fetch     func(ctx context.Context, at netip.AddrPort, service string) (peer.View, error)
 	log       log.Logger
-	pulls     chan netip.AddrPort
+	pulls     *lane.Lane[netip.AddrPort]
 }
 
 // New returns a client. fetch requests a service's view from the balancer at the
@@ -46,7 +52,8 @@
 	fetch func(ctx context.Context, at netip.AddrPort, service string) (peer.View, error),
 	l log.Logger,
 ) *Client {
-	return &Client{node: node, announcer: announcer, fetch: fetch, log: l, pulls: make(chan netip.AddrPort, 1)}
+	pulls := lane.New(pullPatience, lane.WithQueue[netip.AddrPort](1))
+	return &Client{node: node, announcer: announcer, fetch: fetch, log: l, pulls: pulls}
 }
 
 // HandleAck processes the acknowledgment of a heartbeat: it passes it to the announcer,
@@ -72,32 +79,24 @@
 func (c *Client) Run(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
 	go func() {
-		for {
-			select {
-			case <-ctx.Done():
-				done <- nil
-				return
-			case at := <-c.pulls:
-				c.pull(ctx, at)
-			}
-			wait.For(ctx, minPullInterval)
-		}
+		c.pulls.Serve(ctx)
+		done <- nil
 	}()
 	return done
 }
 
 // requestPull requests a pull from the balancer that sent the acknowledgment. The request is
-// dropped if another one is pending or the balancer's control address is unknown: later
+// dropped if another one waits, or the balancer's control address is unknown: later
 // acknowledgments repeat it.
 func (c *Client) requestPull(ack *controlv1.HeartbeatAck) {
 	control, ok := c.announcer.ControlOf(ack.GetMonitor().GetName())
 	if !ok {
 		return
 	}
-	select {
-	case c.pulls <- control:
-	default:
-	}
+	c.pulls.Add(control, func(ctx context.Context) {
+		c.pull(ctx, control)
+		wait.For(ctx, minPullInterval)
+	})
 }
 
 // pull fetches the view from the balancer and adopts it. An error is logged.
--- a/arbutus-agent/balancer/balancer_test.go
+++ b/arbutus-agent/balancer/balancer_test.go
@@ -56,3 +56,35 @@
 		g.Expect(<-done).To(Succeed())
 	})
 }
+
+// TestViewPulledBesideSilentBalancer guards against an agent that uses an outdated view for seconds, because
+// the balancer that it asked first accepts the call and does not respond.
+func TestViewPulledBesideSilentBalancer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		self := member.Member{
+			Name: "desk-1", Role: member.Agent, Domain: "north", Service: "desk", Instance: 9, Version: 1,
+			Phase: member.Joining,
+		}
+		node := state.NewNode(self)
+		a := heartbeat.New(self, heartbeat.WithPace(func() heartbeat.Pace { return heartbeat.Pace{Lease: time.Second} }))
+		c := New(node, a, func(ctx context.Context, at netip.AddrPort, _ string) (peer.View, error) {
+			if at == monitor(1).Control {
+				<-ctx.Done()
+				return peer.View{}, ctx.Err()
+			}
+			return peer.View{Revision: config.Order{Number: 5}, Config: config.View{Service: config.Service{Name: "desk"}}}, nil
+		}, log.NewNopLogger())
+		ctx, cancel := context.WithCancel(context.Background())
+		done := c.Run(ctx)
+		for i := range 2 {
+			c.HandleAck(&controlv1.HeartbeatAck{Monitor: monitor(1 + i).Encode(), Revision: 5, ViewDigest: 77})
+			synctest.Wait()
+		}
+		time.Sleep(pullPatience)
+		synctest.Wait()
+		g.Expect(node.View().Known).To(BeTrue())
+		cancel()
+		g.Expect(<-done).To(Succeed())
+	})
+}
--- a/arbutus-balancer/balancer/learn.go
+++ b/arbutus-balancer/balancer/learn.go
@@ -69,8 +69,7 @@
 		p.recordBack(m.Domain)
 	}
 	if !m.Phase.Alive() {
-		p.revisionLane.cancel(m.ID())
-		p.memberLane.cancel(m.ID())
+		p.cancelPulls(m.ID())
 	}
 	_ = level.Info(p.log).Log(
 		"event", "member", "name", m.Name, "role", m.Role, "phase", m.Phase,
--- a/arbutus-balancer/balancer/peers.go
+++ b/arbutus-balancer/balancer/peers.go
@@ -30,6 +30,7 @@
 	"arbutusfront.dev/common/coordination/heartbeat"
 	"arbutusfront.dev/common/coordination/member"
 	controlv1 "arbutusfront.dev/common/protocol/gen/arbutus/control/v1"
+	"arbutusfront.dev/common/transport/lane"
 	"arbutusfront.dev/common/transport/wait"
 )
 
@@ -72,8 +73,8 @@
 		now       func() time.Time
 		// pulls are sorted into the lanes, in which they run.
 		pulls        chan pull
-		revisionLane *lane
-		memberLane   *lane
+		revisionLane *lane.Lane[pullKey]
+		memberLane   *lane.Lane[pullKey]
 		// gossipNow triggers a gossip round.
 		gossipNow chan struct{}
 
@@ -171,11 +172,8 @@
 		viewDigests:      make(map[string]cachedDigest),
 	}
 	p.fetchedRevision.Store(new(config.Order))
-	p.revisionLane = newLane(revisionPatience, p.mayRespond, func(ctx context.Context, r pull) {
-		p.pullRevision(ctx, r.from)
-	})
-	p.revisionLane.onSlow = p.pullElsewhere
-	p.memberLane = newLane(memberPatience, p.mayRespond, p.pullMembers)
+	p.revisionLane = p.newLane(revisionPatience, lane.WithOnSlow(p.pullElsewhere))
+	p.memberLane = p.newLane(memberPatience)
 	for _, opt := range opts {
 		opt(p)
 	}
--- a/arbutus-balancer/balancer/pulls.go
+++ b/arbutus-balancer/balancer/pulls.go
@@ -8,19 +8,17 @@
 	"github.com/go-kit/log/level"
 
 	"arbutusfront.dev/common/coordination/member"
+	"arbutusfront.dev/common/transport/lane"
 	"arbutusfront.dev/common/transport/wait"
 )
 
 const (
-	// pullQueue bounds the pulls that wait to be sorted into lanes, laneQueue those in each lane.
+	// pullQueue bounds the pulls that wait to be sorted into lanes.
 	pullQueue = 16
-	laneQueue = 16
 	// revisionPatience and memberPatience are how long a pull may take before the next one of its
 	// lane runs beside it. A peer that responds takes some milliseconds.
 	revisionPatience = 100 * time.Millisecond
 	memberPatience   = 250 * time.Millisecond
-	// maxConcurrentPulls bounds the pulls that run beside each other in a lane.
-	maxConcurrentPulls = 4
 )
 
 type (
@@ -34,22 +32,6 @@
 		isBack   bool
 	}
 
-	// lane runs pulls one after the other, except that the next one does not wait for one that takes
-	// longer than the patience. It leaves out pulls from a peer that counts as dead, and those that
-	// already run.
-	lane struct {
-		queue    chan pull
-		patience time.Duration
-		run      func(ctx context.Context, r pull)
-		// onSlow is called for a pull that takes longer than the patience.
-		onSlow func(r pull)
-		// isAlive reports whether the peer may respond.
-		isAlive func(peer member.Member) bool
-
-		mu      sync.Mutex
-		running map[pullKey]context.CancelFunc
-	}
-
 	// pullKey identifies pulls that would fetch the same.
 	pullKey struct {
 		from   member.ID
@@ -57,98 +39,6 @@
 	}
 )
 
-// newLane returns a lane whose pulls run is called for.
-func newLane(patience time.Duration, isAlive func(member.Member) bool, run func(context.Context, pull)) *lane {
-	return &lane{
-		queue: make(chan pull, laneQueue), patience: patience, run: run, onSlow: func(pull) {}, isAlive: isAlive,
-		running: make(map[pullKey]context.CancelFunc),
-	}
-}
-
-// add queues a pull, or drops it if the queue is full: the next message of a peer queues it again.
-func (l *lane) add(r pull) {
-	select {
-	case l.queue <- r:
-	default:
-	}
-}
-
-// serve runs the queued pulls until ctx is canceled, and returns when all of them have ended.
-func (l *lane) serve(ctx context.Context) {
-	var running sync.WaitGroup
-	defer running.Wait()
-	slots := make(chan struct{}, maxConcurrentPulls)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case slots <- struct{}{}:
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case r := <-l.queue:
-			pullCtx, begun := l.begin(ctx, r)
-			if !begun {
-				<-slots
-				continue
-			}
-			done := make(chan struct{})
-			running.Go(func() {
-				l.run(pullCtx, r)
-				l.end(r)
-				<-slots
-				close(done)
-			})
-			l.await(ctx, r, done)
-		}
-	}
-}
-
-// await waits until the pull is done, but no longer than the patience.
-func (l *lane) await(ctx context.Context, r pull, done <-chan struct{}) {
-	timer := time.NewTimer(l.patience)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-done:
-	case <-timer.C:
-		l.onSlow(r)
-	}
-}
-
-// begin records that the pull runs, and returns its context. It returns false if the pull is left out.
-func (l *lane) begin(ctx context.Context, r pull) (context.Context, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	key := pullKey{from: r.from.ID(), isBack: r.isBack}
-	if _, runs := l.running[key]; runs || !l.isAlive(r.from) {
-		return nil, false
-	}
-	ctx, l.running[key] = context.WithCancel(ctx)
-	return ctx, true
-}
-
-// end records that the pull has ended.
-func (l *lane) end(r pull) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	key := pullKey{from: r.from.ID(), isBack: r.isBack}
-	l.running[key]()
-	delete(l.running, key)
-}
-
-// cancel cancels the pulls from the peer that run.
-func (l *lane) cancel(peer member.ID) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for key, cancel := range l.running {
-		if key.from == peer {
-			cancel()
-		}
-	}
-}
-
 // queuePull queues a pull if there is anything to pull. It drops the pull if the queue is
 // full, as the next gossip message triggers it again.
 func (p *Peers) queuePull(r pull) {
@@ -161,37 +51,50 @@
 	}
 }
 
+// newLane returns a lane for pulls. Those from peers that count as dead are left out.
+func (p *Peers) newLane(patience time.Duration, opts ...lane.Option[pullKey]) *lane.Lane[pullKey] {
+	return lane.New(patience, append(opts, lane.WithFilter(p.mayRespond))...)
+}
+
+// cancelPulls ends the running pulls from a peer that counts as dead.
+func (p *Peers) cancelPulls(peer member.ID) {
+	for _, l := range []*lane.Lane[pullKey]{p.revisionLane, p.memberLane} {
+		l.Cancel(func(key pullKey) bool { return key.from == peer })
+	}
+}
+
 // runPulls executes the queued pulls until ctx is canceled. Those of revisions and those of members
-// don't wait for each other.
+// don't wait for each other, nor for a peer that does not respond.
 func (p *Peers) runPulls(ctx context.Context) error {
 	var lanes sync.WaitGroup
 	defer lanes.Wait()
-	lanes.Go(func() { p.revisionLane.serve(ctx) })
-	lanes.Go(func() { p.memberLane.serve(ctx) })
+	lanes.Go(func() { p.revisionLane.Serve(ctx) })
+	lanes.Go(func() { p.memberLane.Serve(ctx) })
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case r := <-p.pulls:
+			key := pullKey{from: r.from.ID(), isBack: r.isBack}
 			if r.revision {
-				p.revisionLane.add(r)
+				p.revisionLane.Add(key, func(ctx context.Context) { p.pullRevision(ctx, r.from) })
 			}
 			if r.members {
-				p.memberLane.add(r)
+				p.memberLane.Add(key, func(ctx context.Context) { p.pullMembers(ctx, r) })
 			}
 		}
 	}
 }
 
 // mayRespond reports whether the peer does not count as dead or left.
-func (p *Peers) mayRespond(peer member.Member) bool {
-	known, ok := p.node.Table.Get(peer.ID())
+func (p *Peers) mayRespond(key pullKey) bool {
+	known, ok := p.node.Table.Get(key.from)
 	return !ok || known.Phase.Alive()
 }
 
 // pullElsewhere queues a pull of the later revision from a random balancer, as the one that was asked
 // first takes long.
-func (p *Peers) pullElsewhere(pull) {
+func (p *Peers) pullElsewhere(pullKey) {
 	for _, b := range p.digestPeer() {
 		p.queuePull(pull{from: b, revision: true})
 	}
