--- a/common/state/ending/ending_test.go
+++ b/common/state/ending/ending_test.go
@@ -28,7 +28,7 @@
 }
 
 // TestOfUnclaimed guards against a reset while an agent may hold the flow, against a delay of one that
-// certainly has ended, and against a flow that is never reset: only Away lasts, which has an end.
+// certainly has ended, and against a flow that is never reset: only Away and Behind last, which have an end.
 func TestOfUnclaimed(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		g := NewWithT(t)
@@ -37,11 +37,12 @@
 		}
 		u := Unclaimed{
 			Uncertain: rapid.Bool().Draw(t, "uncertain"), HopLimit: rapid.Bool().Draw(t, "hop_limit"),
-			Away: rapid.Bool().Draw(t, "away"), SinceJoin: duration("since_join"), For: duration("for"),
+			Away: rapid.Bool().Draw(t, "away"), Behind: rapid.Bool().Draw(t, "behind"),
+			SinceJoin: duration("since_join"), For: duration("for"),
 		}
 		verdict := OfUnclaimed(u)
 		switch {
-		case u.Away:
+		case u.Away || u.Behind:
 			g.Expect(verdict).To(Equal(Wait))
 		case u.For >= ResetDelay:
 			g.Expect(verdict).To(Equal(Reset))
@@ -55,6 +56,26 @@
 	})
 }
 
+// TestOfUnrouted guards against the reset of an open flow whose route may be in a later revision, against a
+// SYN that is not refused at once without such a revision, and against a flow that is never reset.
+func TestOfUnrouted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		u := Unrouted{
+			Opens: rapid.Bool().Draw(t, "opens"), Behind: rapid.Bool().Draw(t, "behind"),
+			Withdrawn: rapid.Bool().Draw(t, "withdrawn"), Confirmed: rapid.Bool().Draw(t, "confirmed"),
+			For:          time.Duration(rapid.Int64Range(0, int64(2*RevisionTime)).Draw(t, "for")),
+			RevisionTime: RevisionTime,
+		}
+		want := Wait
+		switch {
+		case u.Behind:
+		case u.Opens, u.Withdrawn, u.Confirmed, u.For >= u.RevisionTime:
+			want = Reset
+		}
+		NewWithT(t).Expect(OfUnrouted(u)).To(Equal(want))
+	})
+}
+
 func BenchmarkOfUnclaimed(b *testing.B) {
 	b.ReportAllocs()
 	u := Unclaimed{HopLimit: true, SinceJoin: time.Second}
