--- a/arbutus-balancer/fabric/claims_test.go
+++ b/arbutus-balancer/fabric/claims_test.go
@@ -118,8 +118,13 @@
 	d.node.Rebuild()
 	g.Expect(d.unforwarded(syn)).To(Equal(dropAway))
 	holder.Instance++
-	d.announceRun(holder, firstRun)
+	holder = d.announceRun(holder, firstRun)
 	g.Expect(d.forward(ack).to).To(Equal(holder.Packet))
+
+	d.node.Table.Merge(holder.WithDeath())
+	d.node.Rebuild()
+	d.now = time.Now().Add(member.CrashRestartTimeout)
+	g.Expect(d.forward(syn).to).NotTo(Equal(holder.Packet), "the agent does not return")
 }
 
 // TestReportsOfTwoConnections guards against the reset of a flow whose caller has used its port again: an
--- a/arbutus-balancer/fabric/placement.go
+++ b/arbutus-balancer/fabric/placement.go
@@ -144,8 +144,8 @@
 // to the same agent as the first SYN, unless that agent is no longer alive or did not
 // report in time that it holds the flow. place also removes expired entries. Its errors are
 // dropNoAgent if there is no target or agent for a new flow, dropRefused if all agents
-// refuse flows of its request class, and dropAway for a late copy of the SYN of a flow whose agent
-// is no longer alive.
+// refuse flows of its request class, and dropAway for a late copy of the SYN of an open flow whose
+// agent may return.
 func (p *placements) place(route *state.Route, f frame.Frame, hash uint64) (destination, error) {
 	target, ok := route.Pick(hash)
 	if !ok {
@@ -161,10 +161,10 @@
 		if len(p.flows) < maxFlows {
 			p.flows[f.Key] = entry
 		}
+	} else if _, alive := target.Agents.ByName(entry.agent); !alive && p.mayReturnTo(entry) {
+		return destination{}, dropAway
 	} else if c, same := p.reuseAgent(entry, target, now); same {
 		return p.newFlow(target, c), nil
-	} else if entry.accepted {
-		return destination{}, dropAway
 	}
 	c, err := p.chooseByLoad(target, hash, entry.tried, now)
 	if err != nil {
@@ -187,22 +187,18 @@
 
 // reuseAgent returns the agent that an earlier SYN of the flow was sent to. If the agent
 // is no longer alive or did not report in time that it holds the flow, reuseAgent returns
-// false. Unless the caller has accepted the agent's SYN-ACK, it then excludes the agent for this SYN
-// and its retransmissions and, if the agent had not confirmed the flow, marks it as suspect. mu must
-// be held.
+// false, excludes the agent for this SYN and its retransmissions and, unless the agent had
+// confirmed the flow, marks it as suspect. mu must be held.
 func (p *placements) reuseAgent(entry *flowEntry, target *state.Target, now time.Time) (*placement.Candidate, bool) {
 	c, alive := target.Agents.ByName(entry.agent)
 	if alive && (entry.confirmed || now.Sub(entry.sentAt) < reportTimeout || p.hasEstimateSince(c.Name, entry.sentAt)) {
 		entry.usedAt = now
 		return c, true
 	}
-	if entry.accepted {
-		return nil, false
-	}
 	if !entry.confirmed {
 		p.ensureAgentLoad(entry.agent).suspectUntil = now.Add(suspectTime)
 	}
-	entry.confirmed = false
+	entry.confirmed, entry.accepted, entry.accepting = false, false, 0
 	entry.tried = append(entry.tried, entry.agent)
 	return nil, false
 }
