Take routes for outdated until they are rebuilt

Routes are rebuilt up to some 20 ms after a revision is adopted. In between the revision counted as in force and confirmed, while a flow on a route that it adds was still judged by the earlier routes, and could be reset. TestFlowIsNotResetBeforeRoutesAreRebuilt failed before.

hasEnded no longer changes the entry; doubtEarlierRun does that by itself.

--- a/arbutus-balancer/fabric/placement.go
+++ b/arbutus-balancer/fabric/placement.go
@@ -226,6 +226,7 @@
 	if !alive {
 		return destination{}, holderUnknown
 	}
+	p.doubtEarlierRun(entry, c)
 	if p.hasEnded(entry, c) {
 		delete(p.flows, f.Key)
 		return destination{}, holderEnded
--- a/arbutus-balancer/fabric/remembered.go
+++ b/arbutus-balancer/fabric/remembered.go
@@ -96,29 +96,27 @@
 }
 
 // hasEnded reports whether the backend server of the flow's agent c has restarted since it
-// took the flow. It is false if the run that took the flow is unknown, or if the caller may have
-// accepted another agent's SYN-ACK. If the present run may have taken the flow, the holder becomes
-// uncertain, so that the next packet asks for a report. mu must be held.
+// took the flow. It is false if the run that took the flow is unknown or uncertain, or if the caller
+// may have accepted another agent's SYN-ACK.
 func (p *placements) hasEnded(e *flowEntry, c *placement.Candidate) bool {
-	if !e.accepted || e.serverRun == 0 || c.ServerRun <= e.serverRun || p.without.runResets {
-		return false
-	}
-	if p.mayBeOfPresentRun(e, c) {
-		e.accepted, e.accepting = false, 0
-		return false
-	}
-	return true
+	return e.accepted && e.serverRun != 0 && c.ServerRun > e.serverRun && !p.without.runResets
 }
 
-// mayBeOfPresentRun reports whether the agent's present run may have taken the flow although the agent has
-// reported an earlier one: it may not have known of the restart yet. If so, the agent itself resets the
-// flows of the earlier run, as it knows when each began. mu must be held.
-func (p *placements) mayBeOfPresentRun(e *flowEntry, c *placement.Candidate) bool {
+// doubtEarlierRun makes the holder uncertain if the present run of the agent's backend server may have
+// taken the flow, although the agent has reported an earlier one: it may not have known of the restart. The
+// next packet then asks for a report. The agent itself resets the flows of the earlier run, as it knows when
+// each began. mu must be held.
+func (p *placements) doubtEarlierRun(e *flowEntry, c *placement.Candidate) {
+	if c.ServerRun <= e.serverRun || e.instance != c.Instance {
+		return
+	}
 	learnedAt := p.now()
 	if r := p.serverRuns[c.Name]; r.run == c.ServerRun {
 		learnedAt = r.learnedAt
 	}
-	return e.instance == c.Instance && learnedAt.Sub(e.sentAt) < announcementTime
+	if learnedAt.Sub(e.sentAt) < announcementTime {
+		e.accepted, e.accepting = false, 0
+	}
 }
 
 // recordPacket updates the entry with the acknowledgment number and flags of a caller's
@@ -220,7 +218,11 @@
 			continue
 		}
 		c, alive := t.Agents.ByName(e.agent)
-		if !alive || !p.hasEnded(e, c) {
+		if !alive {
+			continue
+		}
+		p.doubtEarlierRun(e, c)
+		if !p.hasEnded(e, c) {
 			continue
 		}
 		if _, ok := t.Agents.FirstAdmitting(0, nil); !ok && !p.without.resetPacing {
--- a/arbutus-balancer/fabric/unclaimed.go
+++ b/arbutus-balancer/fabric/unclaimed.go
@@ -74,7 +74,7 @@
 		return
 	}
 	f.placement.endSearch(p.Key)
-	f.endUnclaimed(h, p, s)
+	f.endUnclaimed(routes, h, p, s)
 }
 
 // nextTarget returns the first target that has agents and has not been queried. It
@@ -125,7 +125,7 @@
 
 // endUnclaimed drops a packet that no service claimed, and resets its flow once that has certainly
 // ended (see ending.OfUnclaimed). No reset is sent for a RST.
-func (f *Forwarder) endUnclaimed(h capsule.Header, p frame.Frame, s search) {
+func (f *Forwarder) endUnclaimed(routes *state.Routes, h capsule.Header, p frame.Frame, s search) {
 	now := f.placement.now()
 	first := f.placement.unclaimed.Record(p.Key, now, func() []string { return f.absentHolders(s, now) })
 	evidence := ending.Unclaimed{
@@ -133,7 +133,7 @@
 		HopLimit:  h.Marks.Has(capsule.MarkHopLimit),
 		Away:      slices.ContainsFunc(first.Absent, func(name string) bool { return f.node.IsAway(name, now) }),
 		SinceJoin: now.Sub(f.node.LastJoin()),
-		Behind:    f.node.Config.Behind(now),
+		Behind:    f.isBehind(routes, now),
 		For:       now.Sub(first.At),
 	}
 	if evidence.Away {
--- a/arbutus-balancer/fabric/unrouted.go
+++ b/arbutus-balancer/fabric/unrouted.go
@@ -21,7 +21,7 @@
 		return dropService
 	}
 	now := f.now()
-	evidence := ending.Unrouted{Opens: p.IsSYN(), Behind: f.node.Config.Behind(now), RevisionTime: f.revisionTime}
+	evidence := ending.Unrouted{Opens: p.IsSYN(), Behind: f.isBehind(routes, now), RevisionTime: f.revisionTime}
 	if !evidence.Opens && !evidence.Behind {
 		f.addUnroutedEvidence(&evidence, routes, p, now)
 	}
@@ -39,6 +39,12 @@
 	}
 }
 
+// isBehind reports whether a later revision is known to exist than that of the routes. They are rebuilt some
+// milliseconds after a revision is adopted.
+func (f *Forwarder) isBehind(routes *state.Routes, now time.Time) bool {
+	return f.node.Config.Behind(now) || routes.Revision.Before(f.node.Config.Current().Order())
+}
+
 // addUnroutedEvidence adds what the balancer knows of an open flow without a route.
 func (f *Forwarder) addUnroutedEvidence(u *ending.Unrouted, routes *state.Routes, p frame.Frame, now time.Time) {
 	if f.placement == nil {
--- a/arbutus-balancer/fabric/unrouted_test.go
+++ b/arbutus-balancer/fabric/unrouted_test.go
@@ -10,6 +10,7 @@
 	"arbutusfront.dev/arbutus-balancer/state"
 	"arbutusfront.dev/common/coordination/config"
 	"arbutusfront.dev/common/protocol/capsule"
+	controlv1 "arbutusfront.dev/common/protocol/gen/arbutus/control/v1"
 	"arbutusfront.dev/common/protocol/ipv4"
 	"arbutusfront.dev/common/state/ending"
 )
@@ -61,6 +62,24 @@
 	g.Expect(d.resets).To(BeZero())
 }
 
+// TestFlowIsNotResetBeforeRoutesAreRebuilt guards against the reset of a flow by routes that are older than
+// the revision in force, which has the flow's route and was confirmed.
+func TestFlowIsNotResetBeforeRoutesAreRebuilt(t *testing.T) {
+	g, d := NewWithT(t), newTestBalancer(t)
+	ack := packetOf(1, newEndpoint, ipv4.FlagACK, 1)
+	g.Expect(d.unforwarded(ack)).To(Equal(dropUnconfirmed))
+	d.now = d.now.Add(time.Millisecond)
+	adopted := &config.Revision{Head: config.NewHeadAt(config.Order{Number: d.revision + 1}, nil, &controlv1.Accepted{})}
+	d.node.Config.Adopt(adopted)
+	d.node.Config.Confirm(adopted.Order(), d.now)
+	g.Expect(d.unforwarded(ack)).To(Equal(dropBehind))
+	for _, service := range []string{"desk", "plots"} {
+		d.forwarder.HandleUnclaimed(
+			capsule.Header{Service: capsule.KeyOf(service)}, packetOf(1, splitEndpoint, ipv4.FlagACK, 1))
+	}
+	g.Expect(d.resets).To(BeZero())
+}
+
 // TestUnclaimedFlowIsNotResetWhileBehind guards against the reset of a flow that no agent claims, because
 // the balancer does not know the service yet that a later revision has added to the route.
 func TestUnclaimedFlowIsNotResetWhileBehind(t *testing.T) {
