--- a/arbutus-lab/sessions/deployment_test.go
+++ b/arbutus-lab/sessions/deployment_test.go
@@ -75,6 +75,9 @@
 		services map[netip.Addr]string
 		// isCut reports whether the link from one host to another drops every packet.
 		isCut func(from, to netip.Addr) bool
+		// stoppedUntil is until when a host seems stopped: what arrives there, and what it sends, is
+		// delayed until then. Its processes run on, and reach each other.
+		stoppedUntil map[netip.Addr]time.Time
 		// loss, duplication and jitter apply to all links, except those of a host to
 		// itself. Links within a failure domain have no jitter.
 		loss        float64
@@ -140,6 +143,7 @@
 			running:      make(map[string]*process),
 			backends:     make(map[string]*backend.Server),
 			instances:    make(map[string]uint64),
+			stoppedUntil: make(map[netip.Addr]time.Time),
 			without:      make(map[string]feature.Set),
 		}
 		w.network.SetLinks(w.link)
@@ -167,14 +171,17 @@
 		Delay: 5 * time.Millisecond, Jitter: w.jitter,
 		Loss: w.loss, Duplication: w.duplication, Cut: w.isCut(from, to),
 	}
-	switch {
-	case from == to:
+	if from == to {
 		return memory.Link{Cut: l.Cut}
+	}
+	switch {
 	case from == callerAddr || to == callerAddr:
 		l.Delay = 3 * time.Millisecond
 	case w.domains[from] != "" && w.domains[from] == w.domains[to]:
 		l.Delay, l.Jitter = 200*time.Microsecond, 0
 	}
+	now := time.Now()
+	l.Delay += max(w.stoppedUntil[from].Sub(now), w.stoppedUntil[to].Sub(now), 0)
 	return l
 }
 
