Bound the time for which a balancer counts as behind

What callers would see: ended flows that are never reset, and SYNs without a route that are never refused.

Cause: a balancer counted as behind for as long as anybody announced a later revision. If all balancers restart on a store that was restored to an earlier one, agents announce the later one for good.

Change: a later revision voids the one in force as evidence for 10 s after its first announcement. Pulls go on as long as it is announced.

TestBehindEnds failed before (after 10 s).

--- a/arbutus-balancer/balancer/pulls.go
+++ b/arbutus-balancer/balancer/pulls.go
@@ -114,7 +114,7 @@
 // pullRevision fetches the revision of the peer and adopts it if it is newer. It does nothing if no later
 // revision is known to exist any more, as another pull was faster.
 func (p *Peers) pullRevision(ctx context.Context, from member.Member) {
-	if !p.node.Config.Behind(p.now()) {
+	if !p.node.Config.LaterExists(p.now()) {
 		return
 	}
 	known := p.node.Config.Current()
--- a/common/coordination/config/holder.go
+++ b/common/coordination/config/holder.go
@@ -5,10 +5,14 @@
 	"time"
 )
 
-// announcementLifetime is how long a process counts as behind after the last announcement of a later
-// revision: a process that has it in force announces it several times a second. It ends if all of them
-// have gone.
-const announcementLifetime = 4 * time.Second
+const (
+	// announcementLifetime is how long a later revision is taken to exist after its last announcement. A
+	// process that has it in force announces it several times a second.
+	announcementLifetime = 4 * time.Second
+	// maxBehind is how long a process counts as behind a revision at most: it can't be had any more if,
+	// for example, the store was restored to an earlier one and only agents still have it.
+	maxBehind = 10 * time.Second
+)
 
 // RevisionHolder holds the revision that is in force in a process. Its order only
 // ever increases. It is safe for concurrent use.
@@ -19,10 +23,11 @@
 	// confirmedAt is the latest time at which the store is known to have had no later
 	// revision than current; zero if that has never been confirmed.
 	confirmedAt time.Time
-	// announced is the latest order that another process or the store has announced, last at
-	// announcedAt.
-	announced   Order
-	announcedAt time.Time
+	// announced is the latest order that another process or the store has announced, first and last
+	// at these times.
+	announced        Order
+	firstAnnouncedAt time.Time
+	announcedAt      time.Time
 }
 
 // NewRevisionHolder returns a RevisionHolder without a revision in force.
@@ -71,16 +76,32 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !revision.Before(h.announced) || at.Sub(h.announcedAt) >= announcementLifetime {
+		if revision != h.announced {
+			h.firstAnnouncedAt = at
+		}
 		h.announced, h.announcedAt = revision, at
 	}
 	return h.current.Order().Before(revision)
 }
 
-// Behind reports whether a later revision than the one in force is known to exist. That ends if it is
-// not announced for announcementLifetime.
+// LaterExists reports whether a later revision than the one in force has been announced within
+// announcementLifetime.
+func (h *RevisionHolder) LaterExists(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.laterExists(now)
+}
+
+// Behind reports whether the revision in force is no evidence, as a later one exists and may soon be in
+// force here. That ends maxBehind after its first announcement.
 func (h *RevisionHolder) Behind(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	return h.laterExists(now) && now.Sub(h.firstAnnouncedAt) < maxBehind
+}
+
+// laterExists is LaterExists with h.mu held.
+func (h *RevisionHolder) laterExists(now time.Time) bool {
 	return h.current.Order().Before(h.announced) && now.Sub(h.announcedAt) < announcementLifetime
 }
 
--- a/common/coordination/config/holder_test.go
+++ b/common/coordination/config/holder_test.go
@@ -38,3 +38,19 @@
 	h.Adopt(revision(9))
 	g.Expect(h.Behind(now)).To(BeFalse())
 }
+
+// TestBehindEnds guards against a process that counts as behind for good, and so never resets an ended flow
+// nor refuses one without a route: agents announce a revision that the restored store has lost. It must still
+// try to fetch that revision, and wait for a later one.
+func TestBehindEnds(t *testing.T) {
+	g, start := NewWithT(t), time.Now()
+	h := NewRevisionHolder()
+	lost, later := Order{Version: 9}, Order{Version: 10}
+	for d := time.Duration(0); d < time.Minute; d += time.Second {
+		g.Expect(h.Announce(lost, start.Add(d))).To(BeTrue())
+		g.Expect(h.Behind(start.Add(d))).To(Equal(d < maxBehind), "after %v", d)
+		g.Expect(h.LaterExists(start.Add(d))).To(BeTrue())
+	}
+	h.Announce(later, start.Add(time.Minute))
+	g.Expect(h.Behind(start.Add(time.Minute))).To(BeTrue())
+}
