Log on what evidence an unclaimed flow was reset

A flow that nobody was found to hold is reset with reason=no_holder. The line did not say whether all agents had been asked, how long the flow had been unclaimed, or when an agent had last joined, so that a search that ended at the hop limit looked like a complete one.

--- a/arbutus-balancer/fabric/unclaimed.go
+++ b/arbutus-balancer/fabric/unclaimed.go
@@ -142,7 +142,8 @@
 	if p.Flags.Has(ipv4.FlagRST) || ending.OfUnclaimed(evidence) != ending.Reset || !f.reset(p) {
 		return
 	}
-	f.logReset(p, "no_holder", "certain", !evidence.Uncertain)
+	f.logReset(p, "no_holder", "certain", !evidence.Uncertain, "hop_limit", evidence.HopLimit,
+		"unclaimed_for", evidence.For.Round(time.Millisecond), "since_join", evidence.SinceJoin.Round(time.Millisecond))
 }
 
 // absentHolders returns the agents of the queried services that are away and may hold the flow. There
