Ask all agents before a flow counts as ended

Cause: a balancer passes a packet of a flow that it does not know from agent to agent, 16 at most. At that limit it reset the flow, as its directory replicas would know it, unless an agent had joined within the last second. They do not if the flow opened some milliseconds ago, if its holder and they have restarted, or if both have left. A bounded search was taken for a complete one.

The balancer now asks all other agents directly, each with a copy of the packet that it can't pass on, and resets the flow only once all of them have responded, or have ended. Agents are unchanged.

--- a/arbutus-balancer/fabric/destination.go
+++ b/arbutus-balancer/fabric/destination.go
@@ -25,11 +25,13 @@
 	// holderState is the state of a flow's remembered holder.
 	holderState int
 
-	// destination is the agent that a packet is forwarded to, and the marks of its capsule.
+	// destination is the agent that a packet is forwarded to, and the marks and visited list of its
+	// capsule.
 	destination struct {
-		target *state.Target
-		agent  *placement.Candidate
-		marks  capsule.Marks
+		target  *state.Target
+		agent   *placement.Candidate
+		marks   capsule.Marks
+		visited []uint64
 	}
 )
 
@@ -67,7 +69,11 @@
 		return destination{}, dropNoAgent
 	}
 	agent, ok := f.chooseByRank(target.Agents, p, hash)
-	return orNoAgent(destination{target: target, agent: agent, marks: capsule.MarkReportHolder}, ok)
+	d := destination{target: target, agent: agent, marks: capsule.MarkReportHolder}
+	if f.placement != nil && !p.IsSYN() {
+		d.visited = firstVisited(target.Agents)
+	}
+	return orNoAgent(d, ok)
 }
 
 // orNoAgent returns the destination, with the error dropNoAgent if ok is false.
--- /dev/null
+++ b/arbutus-balancer/fabric/direct.go
@@ -0,0 +1,238 @@
+package fabric
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"arbutusfront.dev/arbutus-balancer/state"
+	"arbutusfront.dev/common/protocol/capsule"
+	"arbutusfront.dev/common/protocol/frame"
+	"arbutusfront.dev/common/protocol/ipv4"
+	"arbutusfront.dev/common/state/placement"
+	"arbutusfront.dev/common/transport/datagram"
+)
+
+const (
+	// chainHops is how many agents a packet of an unknown flow visits one after the other in a service
+	// that has more than capsule.MaxVisited. The others are asked directly after that.
+	chainHops = capsule.MaxVisited / 2
+	// maxWaiting bounds the agents that are asked about a flow at the same time.
+	maxWaiting = 128
+	// repeatInterval is the minimum time between two packets to the same agent about a flow. Callers
+	// retransmit after 200 ms.
+	repeatInterval = 100 * time.Millisecond
+	// maxQueries bounds the direct queries of a balancer in each queryWindow. What exceeds it waits for
+	// the caller's next packet.
+	maxQueries  = 1024
+	queryWindow = 100 * time.Millisecond
+)
+
+var (
+	// An agent passes a packet on until its visited list is full. Zeros, which are no agent's instance,
+	// shorten the list: chainVisited leaves room for chainHops agents, directVisited for the target alone.
+	chainVisited  = make([]uint64, capsule.MaxVisited-chainHops)
+	directVisited = make([]uint64, capsule.MaxVisited-1)
+)
+
+type (
+	// directSearch asks all agents that may hold a flow, each with a packet of its own. A packet that is
+	// passed from one agent to the next visits only some of the agents of a large service, and that these
+	// don't know the flow does not prove that it has ended.
+	directSearch struct {
+		// waiting are the agents that have not responded yet, with the instance that was asked; 0 if
+		// the agent is away and may return. remaining are those that were not asked yet.
+		waiting   map[agentRef]uint64
+		remaining []agentRef
+		// uncertain is set once an agent has responded that may not know all flows of its backend
+		// server.
+		uncertain  bool
+		repeatedAt time.Time
+	}
+
+	// agentRef names an agent of a service.
+	agentRef struct {
+		service capsule.ServiceKey
+		name    string
+	}
+
+	// queryBudget counts the direct queries in the current window.
+	queryBudget struct {
+		startedAt time.Time
+		used      int
+	}
+)
+
+// firstVisited returns the visited list with which a packet of an unknown flow is sent to the first of the
+// agents.
+func firstVisited(agents *placement.Service) []uint64 {
+	if len(agents.Candidates()) > capsule.MaxVisited {
+		return chainVisited
+	}
+	return nil
+}
+
+// searchDirectly begins or continues the direct search for the holder of a flow, after the packet was
+// returned by the last agent of a chain or, with MarkDirect, by one that was asked directly. It resets the
+// flow once all agents have responded (see endUnclaimed); without a configuration it never does.
+func (f *Forwarder) searchDirectly(routes *state.Routes, targets []*state.Target, h capsule.Header, p frame.Frame) {
+	isResponse := h.Marks.Has(capsule.MarkDirect)
+	if !isResponse {
+		for _, t := range targets {
+			f.placement.recordQueried(routes, p.Key, t.Key)
+		}
+	}
+	found, queries, ok := f.placement.advance(p.Key, targets, h)
+	if !ok {
+		return
+	}
+	f.sendQueries(routes, queries, p)
+	isComplete := len(found.direct.waiting)+len(found.direct.remaining) == 0
+	if isComplete {
+		f.placement.endSearch(p.Key)
+	}
+	if routes.Revision.IsZero() || isResponse && !isComplete {
+		return
+	}
+	h.Marks &^= capsule.MarkHopLimit
+	if !isComplete {
+		h.Marks |= capsule.MarkHopLimit
+	}
+	if found.direct.uncertain {
+		h.Marks |= capsule.MarkUncertain
+	}
+	f.endUnclaimed(routes, h, p, found)
+}
+
+// sendQueries sends the packet to each of the agents alone.
+func (f *Forwarder) sendQueries(routes *state.Routes, queries []destination, p frame.Frame) {
+	batch := make([]datagram.Message, 0, len(queries))
+	for _, q := range queries {
+		b := capsule.AppendPacket(nil, capsule.Header{
+			Visited:  directVisited,
+			Revision: routes.Revision.Number,
+			Sender:   f.self.Instance,
+			Target:   q.agent.Instance,
+			Service:  q.target.Key,
+			Origin:   f.self.Packet,
+			Marks:    capsule.MarkReportHolder | capsule.MarkDirect,
+		}, p.Bytes)
+		batch = append(batch, datagram.Message{Buffer: b, N: len(b), Peer: q.agent.Packet})
+	}
+	sent, _ := f.writeBatch(batch)
+	f.queries.Inc(int64(sent))
+	f.recordSent(batch[:sent])
+}
+
+// advance records the packet that was returned in the direct search for the flow's holder, which it
+// begins if none is running. It returns a copy of the search and whom to ask next. It returns false for a
+// response that is not awaited, as when the holder was found meanwhile.
+func (p *placements) advance(
+	key ipv4.FlowKey, targets []*state.Target, h capsule.Header,
+) (found search, queries []destination, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	s := p.searches[key]
+	isResponse := h.Marks.Has(capsule.MarkDirect)
+	if s == nil || isResponse && s.direct == nil {
+		return search{}, nil, false
+	}
+	if s.direct == nil {
+		s.direct = newDirectSearch(targets)
+	}
+	s.usedAt = now
+	if isResponse {
+		s.direct.recordResponse(h)
+	} else {
+		queries = p.repeat(s.direct, targets, now)
+	}
+	queries = append(queries, p.askNext(s.direct, targets, now)...)
+	found = *s
+	return found, queries, true
+}
+
+func newDirectSearch(targets []*state.Target) *directSearch {
+	s := &directSearch{waiting: make(map[agentRef]uint64)}
+	known := make(map[agentRef]bool)
+	for _, t := range targets {
+		for _, c := range t.Agents.Candidates() {
+			ref := agentRef{service: t.Key, name: c.Name}
+			if !known[ref] {
+				known[ref] = true
+				s.remaining = append(s.remaining, ref)
+			}
+		}
+	}
+	return s
+}
+
+// recordResponse records the response of the target. If another agent has passed the packet on to it, as
+// its directory lists the target as the holder, that one does not hold the flow either.
+func (s *directSearch) recordResponse(h capsule.Header) {
+	for ref, instance := range s.waiting {
+		if instance != 0 && (instance == h.Target || instance == h.Sender) {
+			delete(s.waiting, ref)
+		}
+	}
+	s.uncertain = s.uncertain || h.Marks.Has(capsule.MarkUncertain)
+}
+
+// repeat returns the agents that have not responded, at most once per repeatInterval: queries and
+// responses may be lost, and agents restart. Those that are gone for good no longer count. mu must be held.
+func (p *placements) repeat(s *directSearch, targets []*state.Target, now time.Time) []destination {
+	if now.Sub(s.repeatedAt) < repeatInterval {
+		return nil
+	}
+	s.repeatedAt = now
+	var queries []destination
+	for _, ref := range slices.SortedFunc(maps.Keys(s.waiting), compareRefs) {
+		delete(s.waiting, ref)
+		queries = p.ask(s, targets, ref, now, queries)
+	}
+	return queries
+}
+
+func compareRefs(a, b agentRef) int {
+	return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.name, b.name))
+}
+
+// askNext returns further agents to ask. mu must be held.
+func (p *placements) askNext(s *directSearch, targets []*state.Target, now time.Time) []destination {
+	var queries []destination
+	for len(s.remaining) > 0 && len(s.waiting) < maxWaiting && p.budget.allows(now) {
+		ref := s.remaining[0]
+		s.remaining = s.remaining[1:]
+		queries = p.ask(s, targets, ref, now, queries)
+	}
+	return queries
+}
+
+// ask appends the agent to the queries and waits for it, also if it is away and may return. mu must be held.
+func (p *placements) ask(
+	s *directSearch, targets []*state.Target, ref agentRef, now time.Time, queries []destination,
+) []destination {
+	for _, t := range targets {
+		if t.Key != ref.service {
+			continue
+		}
+		if c, alive := t.Agents.ByName(ref.name); alive {
+			p.budget.used++
+			s.waiting[ref] = c.Instance
+			return append(queries, destination{target: t, agent: c})
+		}
+	}
+	if p.mayReturn(ref.name, now) {
+		s.waiting[ref] = 0
+	}
+	return queries
+}
+
+// allows reports whether another query may be sent.
+func (b *queryBudget) allows(now time.Time) bool {
+	if now.Sub(b.startedAt) >= queryWindow {
+		*b = queryBudget{startedAt: now}
+	}
+	return b.used < maxQueries
+}
--- a/arbutus-balancer/fabric/forwarder.go
+++ b/arbutus-balancer/fabric/forwarder.go
@@ -82,7 +82,9 @@
 		forwarded tally.Counter
 		refused   tally.Counter
 		// demand counts the requests that are refused here, for operators.
-		demand        *demand.Recorder
+		demand *demand.Recorder
+		// queries counts the packets by which agents were asked directly whether they hold a flow.
+		queries       tally.Counter
 		forwardedLate tally.Counter
 		discardedLate tally.Counter
 		// droppedAway counts packets that were returned as unclaimed while the flow's
@@ -192,6 +194,7 @@
 		forwarded:     scope.Counter("packets_forwarded"),
 		refused:       scope.Counter("flows_refused"),
 		demand:        demand.NewRecorder(demand.WithScope(scope)),
+		queries:       scope.Counter("holder_queries"),
 		forwardedLate: scope.Counter("packets_forwarded_after_waiting"),
 		discardedLate: scope.Counter("packets_dropped_after_waiting"),
 		droppedAway:   scope.Tagged(map[string]string{"reason": string(dropAway)}).Counter("packets_dropped"),
@@ -288,6 +291,7 @@
 		return nil, netip.AddrPort{}, err
 	}
 	h := capsule.Header{
+		Visited:  to.visited,
 		Revision: routes.Revision.Number,
 		Sender:   f.self.Instance,
 		Target:   to.agent.Instance,
--- a/arbutus-balancer/fabric/placement.go
+++ b/arbutus-balancer/fabric/placement.go
@@ -20,8 +20,8 @@
 	// flowLifetime is how long a flow without packets is remembered. The holder of a flow
 	// that outlives its entry is found again by the forwarding chain.
 	flowLifetime = 30 * time.Second
-	// searchLifetime is how long a search for a flow's holder is remembered. A packet
-	// takes about 5 ms from one agent to the next.
+	// searchLifetime is how long a search for a flow's holder is remembered after a packet of the flow was
+	// returned. Callers retransmit at least every 1.6 s.
 	searchLifetime = 2 * time.Second
 	// expireInterval is the minimum time between removals of expired entries. They are
 	// removed only when a SYN is placed.
@@ -54,10 +54,12 @@
 		// reportsIgnored counts reports that did not replace what is known of a flow's holder.
 		reportsIgnored tally.Counter
 
-		mu          sync.Mutex
-		flows       map[ipv4.FlowKey]*flowEntry
-		agentLoads  map[string]*agentLoad
-		searches    map[ipv4.FlowKey]*search
+		mu         sync.Mutex
+		flows      map[ipv4.FlowKey]*flowEntry
+		agentLoads map[string]*agentLoad
+		searches   map[ipv4.FlowKey]*search
+		// budget bounds the packets of direct searches.
+		budget      queryBudget
 		lastExpired time.Time
 		// checkedRoutes are the routes that were last checked for restarted backend
 		// servers, and serverRuns the latest runs, by agent name. resetsDeferred is set
@@ -80,8 +82,11 @@
 
 	// search lists the services that were queried for a flow's holder without success.
 	search struct {
-		queried   []capsule.ServiceKey
-		startedAt time.Time
+		queried []capsule.ServiceKey
+		// usedAt is when a packet of the flow was last returned.
+		usedAt time.Time
+		// direct is set once the agents are asked directly.
+		direct *directSearch
 		// returnedByHolder is set if the agent that was remembered as the flow's holder is
 		// alive, and so has returned the flow itself.
 		returnedByHolder bool
@@ -287,11 +292,12 @@
 	defer p.mu.Unlock()
 	s := p.searches[key]
 	if s == nil {
-		s = &search{startedAt: p.now()}
+		s = new(search)
 		if len(p.searches) < maxFlows {
 			p.searches[key] = s
 		}
 	}
+	s.usedAt = p.now()
 	if e := p.flows[key]; e != nil {
 		t, known := routes.Target(e.service)
 		if known && e.accepted && e.service == service {
@@ -329,7 +335,7 @@
 		}
 	}
 	for key, s := range p.searches {
-		if now.Sub(s.startedAt) > searchLifetime {
+		if now.Sub(s.usedAt) > searchLifetime {
 			delete(p.searches, key)
 		}
 	}
--- a/arbutus-balancer/fabric/unclaimed.go
+++ b/arbutus-balancer/fabric/unclaimed.go
@@ -34,10 +34,11 @@
 // HandleUnclaimed handles a packet that no queried agent of a service claimed. It forwards
 // the packet to an agent of the next service that may have the flow. If the last agent had no
 // configuration, and so could not pass the packet on, the next one of its service comes first.
-// Once no service is left to query, it resets the flow, after a delay if an agent may hold it
-// after all. A flow to an endpoint that certainly has no route is reset at once. A packet is dropped while
-// the flow's remembered agent may still return. Without a configuration, the agents are queried
-// one by one, and no flow is reset. HandleUnclaimed has no effect without WithPlacement.
+// If the packet could not visit all agents of a service, they are asked directly. Once nobody is
+// left to query, it resets the flow, after a delay if an agent may hold it after all. A flow to an
+// endpoint that certainly has no route is reset at once. A packet is dropped while the flow's
+// remembered agent may still return. Without a configuration, the agents are queried, and no flow
+// is reset. HandleUnclaimed has no effect without WithPlacement.
 func (f *Forwarder) HandleUnclaimed(h capsule.Header, packet []byte) {
 	p, err := f.codec.Parse(packet)
 	if err != nil || f.placement == nil {
@@ -45,20 +46,23 @@
 	}
 	routes := f.node.Routes()
 	route, ok := routes.Lookup(p.Key.Service)
-	if !ok && f.mayBeHeld(routes, p) {
+	switch {
+	case !ok && f.mayBeHeld(routes, p):
 		f.queryUnconfigured(routes, h, p)
-		return
-	}
-	if !ok {
+	case !ok:
 		_ = f.refuse(routes, p)
-		return
-	}
-	if f.placement.holderIsAway(routes, p.Key) {
+	case f.placement.holderIsAway(routes, p.Key):
 		f.droppedAway.Inc(1)
-		return
+	default:
+		f.continueSearch(routes, route, h, p)
 	}
+}
+
+// continueSearch queries the next agent, service or all agents directly, or ends the search.
+func (f *Forwarder) continueSearch(routes *state.Routes, route *state.Route, h capsule.Header, p frame.Frame) {
 	hash := placement.FlowHash(p.Key)
-	if len(h.Visited) > 0 {
+	isDirect := h.Marks.Has(capsule.MarkDirect)
+	if len(h.Visited) > 0 && !isDirect {
 		if f.queryNext(routes, h, p, hash) {
 			return
 		}
@@ -68,8 +72,13 @@
 	if !route.AllTargetsHaveAgents() {
 		h.Marks |= capsule.MarkUncertain
 	}
+	targets := routes.Targets(route, hash, maxOtherServices)
+	if isDirect || h.Marks.Has(capsule.MarkHopLimit) {
+		f.searchDirectly(routes, targets, h, p)
+		return
+	}
 	s := f.placement.recordQueried(routes, p.Key, h.Service)
-	if t, ok := nextTarget(routes.Targets(route, hash, maxOtherServices), s.queried); ok {
+	if t, ok := nextTarget(targets, s.queried); ok {
 		f.query(routes, t, h, p, hash)
 		return
 	}
@@ -97,6 +106,9 @@
 	if !ok {
 		return
 	}
+	if len(h.Visited) == 0 {
+		h.Visited = firstVisited(t.Agents)
+	}
 	next := capsule.Header{
 		Visited:  h.Visited,
 		Revision: routes.Revision.Number,
@@ -104,7 +116,7 @@
 		Target:   agent.Instance,
 		Service:  t.Key,
 		Origin:   f.self.Packet,
-		Marks:    capsule.MarkReportHolder | h.Marks&(capsule.MarkUncertain|capsule.MarkHopLimit),
+		Marks:    capsule.MarkReportHolder | h.Marks&capsule.MarkUncertain,
 	}
 	b := capsule.AppendPacket(make([]byte, 0, datagram.MaxBytes), next, p.Bytes)
 	f.send(b, agent.Packet)
@@ -129,12 +141,12 @@
 	now := f.placement.now()
 	first := f.placement.unclaimed.Record(p.Key, now, func() []string { return f.absentHolders(s, now) })
 	evidence := ending.Unclaimed{
-		Uncertain: h.Marks.Has(capsule.MarkUncertain),
-		HopLimit:  h.Marks.Has(capsule.MarkHopLimit),
-		Away:      slices.ContainsFunc(first.Absent, func(name string) bool { return f.node.IsAway(name, now) }),
-		SinceJoin: now.Sub(f.node.LastJoin()),
-		Behind:    f.isBehind(routes, now),
-		For:       now.Sub(first.At),
+		Uncertain:  h.Marks.Has(capsule.MarkUncertain),
+		Unanswered: h.Marks.Has(capsule.MarkHopLimit),
+		Away:       slices.ContainsFunc(first.Absent, func(name string) bool { return f.node.IsAway(name, now) }),
+		SinceJoin:  now.Sub(f.node.LastJoin()),
+		Behind:     f.isBehind(routes, now),
+		For:        now.Sub(first.At),
 	}
 	if evidence.Away {
 		f.placement.unclaimed.Postpone(p.Key, now)
@@ -142,7 +154,7 @@
 	if p.Flags.Has(ipv4.FlagRST) || ending.OfUnclaimed(evidence) != ending.Reset || !f.reset(p) {
 		return
 	}
-	f.logReset(p, "no_holder", "certain", !evidence.Uncertain, "hop_limit", evidence.HopLimit,
+	f.logReset(p, "no_holder", "certain", !evidence.Uncertain, "unanswered", evidence.Unanswered,
 		"unclaimed_for", evidence.For.Round(time.Millisecond), "since_join", evidence.SinceJoin.Round(time.Millisecond))
 }
 
--- a/arbutus-balancer/fabric/unconfigured.go
+++ b/arbutus-balancer/fabric/unconfigured.go
@@ -32,12 +32,17 @@
 	return services[0], true
 }
 
-// queryUnconfigured forwards an unclaimed packet to the next agent of its service, up
-// to capsule.MaxVisited agents, and then to the next service. After the last one the
-// packet is dropped without a reset: agents that are not known yet may hold its flow.
+// queryUnconfigured forwards an unclaimed packet to the next agent of its service, and then to
+// the next service. If a service has more than capsule.MaxVisited agents, all agents are asked
+// directly. After the last one the packet is dropped without a reset: agents that are not known yet may hold its flow.
 func (f *Forwarder) queryUnconfigured(routes *state.Routes, h capsule.Header, p frame.Frame) {
 	hash := placement.FlowHash(p.Key)
-	if f.queryNext(routes, h, p, hash) {
+	isDirect := h.Marks.Has(capsule.MarkDirect)
+	if !isDirect && f.queryNext(routes, h, p, hash) {
+		return
+	}
+	if t, ok := routes.Target(h.Service); isDirect || ok && len(t.Agents.Candidates()) > capsule.MaxVisited {
+		f.searchDirectly(routes, routes.Services(), h, p)
 		return
 	}
 	queried := f.placement.recordQueried(routes, p.Key, h.Service).queried
--- a/common/protocol/capsule/capsule.go
+++ b/common/protocol/capsule/capsule.go
@@ -87,14 +87,13 @@
 	// holder although no agent claimed it.
 	MarkUncertain
 	// MarkHopLimit is set if the visited list is full and some candidates were not
-	// visited. None of these holds the flow, provided that the flow was published to
-	// its directory replicas since the ranking of the candidates last changed.
+	// visited. One of these may hold the flow.
 	MarkHopLimit
 	// MarkBusy is set if a visited agent would admit the flow once its backend server
 	// has capacity.
 	MarkBusy
 	// MarkLastOffer is set if no agent is left to offer the flow to, so that a busy target
-	// queues or refuses it instead of forwarding it.
+	// queues or refuses it instead of forwarding it. Only SYNs have it.
 	MarkLastOffer
 	// MarkEstimates is set if the origin reads estimates: the agent adds one to its reports
 	// to the origin.
@@ -103,6 +102,11 @@
 	MarkRemote
 )
 
+// MarkDirect is set, in packets other than SYNs, if the origin asks the target alone whether it holds
+// the flow, with a visited list that leaves no room for other agents. It shares its bit with
+// MarkLastOffer.
+const MarkDirect = MarkLastOffer
+
 // Error is the class of this package's errors.
 var Error = errs.Class("capsule")
 
--- a/common/state/ending/ending.go
+++ b/common/state/ending/ending.go
@@ -22,10 +22,9 @@
 	// SettleTime is how long a balancer's member table may lack other agents after one has
 	// joined or left the joining phase, such as when the whole deployment starts.
 	SettleTime = 300 * time.Millisecond
-	// RepublishTime is how long it may take after a change of the ranking until a flow is
-	// published to its new directory replicas. The holder learns of the change within a
-	// heartbeat interval, and retransmits publications that are lost.
-	RepublishTime = time.Second
+	// AnswerTime is how long a balancer waits for agents that do not say whether they hold a flow
+	// although they count as alive, such as behind a cut that no monitor notices.
+	AnswerTime = 10 * time.Second
 	// ResetDelay is how long a flow is unclaimed before it is reset if an agent may hold it
 	// after all.
 	ResetDelay = 1500 * time.Millisecond
@@ -67,9 +66,8 @@
 		// Uncertain is set if an agent that was asked may not know all flows of its backend
 		// server, or a service of the route has no agents.
 		Uncertain bool
-		// HopLimit is set if some agents were not asked, as the flow's directory replicas
-		// know its holder.
-		HopLimit bool
+		// Unanswered is set if some agents have not said yet whether they hold the flow.
+		Unanswered bool
 		// Away is set if an agent that could not be asked since the flow was first
 		// unclaimed may return, and no directory replica rules out that it holds the flow.
 		Away bool
@@ -116,8 +114,8 @@
 
 // OfUnclaimed returns whether the flow has ended. It never returns PassOn.
 func OfUnclaimed(u Unclaimed) Verdict {
-	doubtful := u.Uncertain || u.SinceJoin < SettleTime || u.HopLimit && u.SinceJoin < RepublishTime
-	if u.Away || u.Behind || doubtful && u.For < ResetDelay {
+	doubtful := u.Uncertain || u.SinceJoin < SettleTime
+	if u.Away || u.Behind || u.Unanswered && u.For < AnswerTime || doubtful && u.For < ResetDelay {
 		return Wait
 	}
 	return Reset
