--- a/arbutus-agent/passthrough/inbound.go
+++ b/arbutus-agent/passthrough/inbound.go
@@ -306,13 +306,25 @@
 		e.metrics.dropped("no_holder").Inc(1)
 		return
 	}
-	visited := h.Visited
+	visited := countVisited(h)
 	if v.Known {
 		h.Visited = nil
 	}
 	b := capsule.AppendUnclaimed(make([]byte, 0, datagram.MaxBytes), h, p.Bytes)
 	e.checkSend(h.Origin, e.forward(b, h.Origin))
-	e.logUnclaimed(p, h, len(visited))
+	e.logUnclaimed(p, h, visited)
+}
+
+// countVisited returns the number of agents in the header's visited list. Balancers shorten the list by
+// zeros.
+func countVisited(h capsule.Header) int {
+	n := 0
+	for _, instance := range h.Visited {
+		if instance != 0 {
+			n++
+		}
+	}
+	return n
 }
 
 // forwardTo sends the packet to another agent.
--- a/common/protocol/capsule/capsule.go
+++ b/common/protocol/capsule/capsule.go
@@ -137,7 +137,8 @@
 		// config.ClassCodes; 0 if it has none.
 		Class uint8
 		// Visited are the instances of the agents that forwarded the packet, because
-		// they neither hold the flow nor admit it.
+		// they neither hold the flow nor admit it. Zeros, which are no agent's instance,
+		// leave room for fewer agents.
 		Visited []uint64
 	}
 
