Query all services again when an unfinished search is old

The services that returned a packet of a flow were remembered until expired searches were removed, which happens when a SYN is placed and at most every 5 s. If a search did not end, as a packet was lost, the next one left these services out, and the flow could be reset although its holder had not been asked.

A search older than searchLifetime (2 s) now begins anew. TestUnfinishedSearchIsForgotten failed before.

--- a/arbutus-balancer/fabric/placement.go
+++ b/arbutus-balancer/fabric/placement.go
@@ -280,15 +280,16 @@
 }
 
 // recordQueried records that the service was queried for the flow's holder without
-// success, and starts a search if none is running. It also forgets the agent that was
-// remembered for the flow. It returns a copy of the search.
+// success, and starts a search if none is running or it is older than searchLifetime. It also
+// forgets the agent that was remembered for the flow. It returns a copy of the search.
 func (p *placements) recordQueried(routes *state.Routes, key ipv4.FlowKey, service capsule.ServiceKey) search {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.searches[key]
-	if s == nil {
-		s = &search{startedAt: p.now()}
-		if len(p.searches) < maxFlows {
+	now := p.now()
+	s, known := p.searches[key]
+	if !known || now.Sub(s.startedAt) > searchLifetime {
+		s = &search{startedAt: now}
+		if known || len(p.searches) < maxFlows {
 			p.searches[key] = s
 		}
 	}
--- a/arbutus-balancer/fabric/search_test.go
+++ b/arbutus-balancer/fabric/search_test.go
@@ -62,3 +62,18 @@
 	g.Expect(d.unforwarded(ack)).To(Equal(dropService))
 	g.Expect(d.resets).To(Equal(1))
 }
+
+// TestUnfinishedSearchIsForgotten guards against the reset of an open flow before all services were
+// queried, because one of them had returned an earlier packet of the flow whose search did not end.
+func TestUnfinishedSearchIsForgotten(t *testing.T) {
+	g, d := NewWithT(t), newTestBalancer(t)
+	b := packetOf(1, splitEndpoint, ipv4.FlagACK, 1)
+	d.forwarder.HandleUnclaimed(capsule.Header{Service: capsule.KeyOf("desk")}, b)
+	d.now = d.now.Add(2 * searchLifetime)
+	d.forwarder.HandleUnclaimed(capsule.Header{Service: capsule.KeyOf("plots")}, b)
+	g.Expect(d.resets).To(BeZero())
+	g.Expect(d.sent).To(HaveLen(2))
+	g.Expect(d.sent[1].h.Service).To(Equal(capsule.KeyOf("desk")))
+	d.forwarder.HandleUnclaimed(capsule.Header{Service: capsule.KeyOf("desk")}, b)
+	g.Expect(d.resets).To(Equal(1), "all services were queried")
+}
