--- a/arbutus-balancer/fabric/direct.go
+++ b/arbutus-balancer/fabric/direct.go
@@ -51,6 +51,15 @@
 		repeatedAt time.Time
 	}
 
+	// progress is the state of a direct search after a packet: whom to ask next, whether all agents have
+	// responded, and whether one of them may not know all flows of its backend server.
+	progress struct {
+		search      search
+		queries     []destination
+		isComplete  bool
+		isUncertain bool
+	}
+
 	// agentRef names an agent of a service.
 	agentRef struct {
 		service capsule.ServiceKey
@@ -83,26 +92,25 @@
 			f.placement.recordQueried(routes, p.Key, t.Key)
 		}
 	}
-	found, queries, ok := f.placement.advance(p.Key, targets, h)
+	next, ok := f.placement.advance(p.Key, targets, h)
 	if !ok {
 		return
 	}
-	f.sendQueries(routes, queries, p)
-	isComplete := len(found.direct.waiting)+len(found.direct.remaining) == 0
-	if isComplete {
+	f.sendQueries(routes, next.queries, p)
+	if next.isComplete {
 		f.placement.endSearch(p.Key)
 	}
-	if routes.Revision.IsZero() || isResponse && !isComplete {
+	if routes.Revision.IsZero() || isResponse && !next.isComplete {
 		return
 	}
 	h.Marks &^= capsule.MarkHopLimit
-	if !isComplete {
+	if !next.isComplete {
 		h.Marks |= capsule.MarkHopLimit
 	}
-	if found.direct.uncertain {
+	if next.isUncertain {
 		h.Marks |= capsule.MarkUncertain
 	}
-	f.endUnclaimed(routes, h, p, found)
+	f.endUnclaimed(routes, h, p, next.search)
 }
 
 // sendQueries sends the packet to each of the agents alone.
@@ -126,31 +134,31 @@
 }
 
 // advance records the packet that was returned in the direct search for the flow's holder, which it
-// begins if none is running. It returns a copy of the search and whom to ask next. It returns false for a
-// response that is not awaited, as when the holder was found meanwhile.
-func (p *placements) advance(
-	key ipv4.FlowKey, targets []*state.Target, h capsule.Header,
-) (found search, queries []destination, ok bool) {
+// begins if none is running. It returns false for a response that is not awaited, as when the holder was
+// found meanwhile.
+func (p *placements) advance(key ipv4.FlowKey, targets []*state.Target, h capsule.Header) (progress, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
 	s := p.searches[key]
 	isResponse := h.Marks.Has(capsule.MarkDirect)
 	if s == nil || isResponse && s.direct == nil {
-		return search{}, nil, false
+		return progress{}, false
 	}
 	if s.direct == nil {
 		s.direct = newDirectSearch(targets)
 	}
 	s.usedAt = now
+	next := progress{search: *s}
 	if isResponse {
 		s.direct.recordResponse(h)
 	} else {
-		queries = p.repeat(s.direct, targets, now)
+		next.queries = p.repeat(s.direct, targets, now)
 	}
-	queries = append(queries, p.askNext(s.direct, targets, now)...)
-	found = *s
-	return found, queries, true
+	next.queries = append(next.queries, p.askNext(s.direct, targets, now)...)
+	next.isComplete = len(s.direct.waiting)+len(s.direct.remaining) == 0
+	next.isUncertain = s.direct.uncertain
+	return next, true
 }
 
 func newDirectSearch(targets []*state.Target) *directSearch {
