Bound the repeated queries of direct searches too

Agents that do not respond were asked again without regard to the bound on queries: 120 flows beside silent agents sent 6,240 packets at once.

--- a/arbutus-balancer/fabric/direct.go
+++ b/arbutus-balancer/fabric/direct.go
@@ -196,6 +196,9 @@
 	s.repeatedAt = now
 	var queries []destination
 	for _, ref := range slices.SortedFunc(maps.Keys(s.waiting), compareRefs) {
+		if !p.budget.allows(now) {
+			break
+		}
 		delete(s.waiting, ref)
 		queries = p.ask(s, targets, ref, now, queries)
 	}
--- a/arbutus-balancer/fabric/direct_test.go
+++ b/arbutus-balancer/fabric/direct_test.go
@@ -195,9 +195,20 @@
 	g.Expect(d.resets).To(And(BeNumerically(">", 0), BeNumerically("<", flows)))
 	for range 4 {
 		d.now = d.now.Add(200 * time.Millisecond)
-		g.Expect(resetAll()).To(BeNumerically("<=", maxQueries+maxWaiting))
+		g.Expect(resetAll()).To(BeNumerically("<=", maxQueries))
 	}
 	g.Expect(d.resets).To(BeNumerically(">=", flows))
+
+	repeated := 0
+	for port := range uint16(2 * flows) {
+		d.now = d.now.Add(queryWindow)
+		d.endChain(deskPacket(1000+port, ipv4.FlagACK))
+	}
+	d.now = d.now.Add(queryWindow)
+	for port := range uint16(2 * flows) {
+		repeated += len(d.endChain(deskPacket(1000+port, ipv4.FlagACK)))
+	}
+	g.Expect(repeated).To(BeNumerically("<=", maxQueries), "agents that do not respond are asked again")
 }
 
 // TestAllAgentsAreAskedWithoutConfiguration guards against a flow that stalls until the store is reachable
