Await answers in each search before a flow counts as ended

Cause: a flow whose agents have not all responded is reset after 10 s. They were counted from its first unclaimed packet, not from the search. If the flow is unclaimed for longer, as while the balancer does not know the latest revision, a search that begins after that resets the flow before any agent has responded.

The time now counts from the beginning of the search. TestNewSearchAwaits- Answers failed before (reset with 0 responses) and passes.

--- a/arbutus-balancer/fabric/direct.go
+++ b/arbutus-balancer/fabric/direct.go
@@ -45,6 +45,7 @@
 		// the agent is away and may return. remaining are those that were not asked yet.
 		waiting   map[agentRef]uint64
 		remaining []agentRef
+		startedAt time.Time
 		// uncertain is set once an agent has responded that may not know all flows of its backend
 		// server.
 		uncertain  bool
@@ -146,7 +147,7 @@
 		return progress{}, false
 	}
 	if s.direct == nil {
-		s.direct = newDirectSearch(targets)
+		s.direct = newDirectSearch(targets, now)
 	}
 	s.usedAt = now
 	next := progress{search: *s}
@@ -161,8 +162,8 @@
 	return next, true
 }
 
-func newDirectSearch(targets []*state.Target) *directSearch {
-	s := &directSearch{waiting: make(map[agentRef]uint64)}
+func newDirectSearch(targets []*state.Target, now time.Time) *directSearch {
+	s := &directSearch{waiting: make(map[agentRef]uint64), startedAt: now}
 	known := make(map[agentRef]bool)
 	for _, t := range targets {
 		for _, c := range t.Agents.Candidates() {
--- a/arbutus-balancer/fabric/direct_test.go
+++ b/arbutus-balancer/fabric/direct_test.go
@@ -103,6 +103,27 @@
 	g.Expect(d.resets).To(Equal(1))
 }
 
+// TestNewSearchAwaitsAnswers guards against the reset of an open flow at the beginning of a search, before
+// any agent has responded, because its packets have been unclaimed for long: the balancer did not know the
+// latest revision, and the search before has ended.
+func TestNewSearchAwaitsAnswers(t *testing.T) {
+	g, d := NewWithT(t), newLargeBalancer(t)
+	b := deskPacket(1, ipv4.FlagACK)
+	for began := d.now; d.now.Sub(began) < ending.AnswerTime; d.now = d.now.Add(time.Second) {
+		d.announceRevision()
+		for _, q := range d.endChain(b) {
+			d.respond(q, b, 0)
+		}
+	}
+	queries := d.endChain(b)
+	g.Expect(queries).To(HaveLen(largeDesk + 4*northAgents))
+	for i, q := range queries {
+		g.Expect(d.resets).To(BeZero(), "%d agents have responded", i)
+		d.respond(q, b, 0)
+	}
+	g.Expect(d.resets).To(Equal(1))
+}
+
 // TestAgentThatEndsWhileItIsAsked guards against the reset of a flow whose holder restarts while it is
 // asked, and against one that waits for an agent that is gone for good.
 func TestAgentThatEndsWhileItIsAsked(t *testing.T) {
--- a/arbutus-balancer/fabric/unclaimed.go
+++ b/arbutus-balancer/fabric/unclaimed.go
@@ -148,6 +148,9 @@
 		Behind:     f.isBehind(routes, now),
 		For:        now.Sub(first.At),
 	}
+	if s.direct != nil {
+		evidence.SearchedFor = now.Sub(s.direct.startedAt)
+	}
 	if evidence.Away {
 		f.placement.unclaimed.Postpone(p.Key, now)
 	}
