Ask all agents before a terminated flow is reset

Where agents terminate callers' TCP, a packet visits 16 agents at most. The last one reset a flow that it had first seen unclaimed 1.5 s ago or earlier, though the agents that the packet had not visited could hold it, and though the flow could have been held in between.

The last agent now asks all agents of the service for the flow: when it first sees a packet, so that the holder, if there is one, gets the retransmission, and again 250 ms before the reset delay has passed. It resets the flow once the delay has passed and all agents have denied both the flow's key and its sequence numbers, without a further packet. Agents that are dead are not asked. Up to 48 flows share a message. An agent sends one message in a millisecond at most, besides retransmissions, and two for each flow and agent, however many packets arrive.

--- a/arbutus-agent/agent/peers.go
+++ b/arbutus-agent/agent/peers.go
@@ -11,6 +11,9 @@
 //	p.Opened(key)
 //	p.Handle(from, message)
 //
+// An agent that sees packets of a flow without knowing its holder asks all other agents for it
+// with Search.
+//
 // A flow's replicas are the agents, other than the holder, that come first in its ranking
 // by rendezvous hashing. One task per replica batches updates and retransmits them until
 // they are acknowledged.
@@ -18,6 +21,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"slices"
 	"sync"
@@ -64,6 +68,13 @@
 		// those whose handshake is not complete.
 		Held func() []ipv4.FlowKey
 		Load func() load.Load
+		// Claims reports whether a packet of a caller with these numbers belongs to a flow
+		// that this agent holds. Found is called if a search has found the holder of a flow.
+		// Otherwise SearchEnded is called at its end: denied is set if all other agents have
+		// answered that they don't hold the flow. All are nil if no flows are searched for.
+		Claims      func(key ipv4.FlowKey, sequence, acknowledgment uint32) bool
+		Found       func(key ipv4.FlowKey, instance uint64)
+		SearchEnded func(key ipv4.FlowKey, denied bool)
 	}
 
 	// loadReport is the last load that another agent reported.
@@ -91,6 +102,8 @@
 		replicas map[ipv4.FlowKey][]uint64
 		// loads has the last load reports by the agent's instance.
 		loads map[uint64]loadReport
+		// searches are the searches for the holders of flows.
+		searches searches
 		// stopped is set when Run ends: no more tasks are started.
 		stopped bool
 		wg      sync.WaitGroup
@@ -131,6 +144,7 @@
 		tasks:      make(map[uint64]*task),
 		replicas:   make(map[ipv4.FlowKey][]uint64),
 		loads:      make(map[uint64]loadReport),
+		searches:   newSearches(),
 		ctx:        context.Background(),
 	}
 	for _, opt := range opts {
@@ -148,10 +162,11 @@
 func (p *Peers) Run(ctx context.Context) <-chan error {
 	p.ctx = ctx
 	followed := p.node.Follow(ctx, p.republish)
+	searched := p.runSearches(ctx)
 	done := make(chan error, 1)
 	go func() {
 		p.probeCallers(ctx)
-		err := <-followed
+		err := errors.Join(<-followed, <-searched)
 		p.mu.Lock()
 		p.stopped = true
 		p.mu.Unlock()
@@ -193,14 +208,18 @@
 	p.loads[instance] = loadReport{Load: load.Load{Flows: int(flows), Requests: int(requests)}, receivedAt: time.Now()}
 }
 
-// Handle processes a register or its acknowledgment from another agent, and ignores other
-// messages.
+// Handle processes a register, a search for flows, or the response to one of them, from another
+// agent, and ignores other messages.
 func (p *Peers) Handle(from netip.AddrPort, m *controlv1.Datagram) {
 	switch body := m.GetBody().(type) {
 	case *controlv1.Datagram_Register:
 		p.handleRegister(from, body.Register)
 	case *controlv1.Datagram_RegisterAck:
 		p.handleAck(body.RegisterAck)
+	case *controlv1.Datagram_FlowSearch:
+		p.handleSearch(from, body.FlowSearch)
+	case *controlv1.Datagram_FlowSearchAnswer:
+		p.handleSearchAnswer(body.FlowSearchAnswer)
 	}
 }
 
--- a/arbutus-agent/flow/engine.go
+++ b/arbutus-agent/flow/engine.go
@@ -13,8 +13,8 @@
 // A packet of a flow that is held here goes to the flow's connection. Otherwise the
 // directory names the holder. If it doesn't, the packet is forwarded along the
 // service's candidates in the order of the flow's ranking; its header lists the agents
-// that it has visited. A SYN is forwarded along the candidates that take new flows, until
-// one admits it.
+// that it has visited. The last one that the header has room for asks all agents for the flow. A SYN
+// is forwarded along the candidates that take new flows, until one admits it.
 package flow
 
 import (
@@ -52,6 +52,7 @@
 		stack     *caller.Stack
 		directory *directory.Directory
 		unclaimed *unclaimed.Set
+		searches  *searches
 		now       func() time.Time
 		log       log.Logger
 		metrics   metrics
@@ -126,6 +127,13 @@
 	return func(e *Engine) { e.opened, e.closed = opened, closed }
 }
 
+// WithSearch sets the function that asks the other agents whether they hold the flow of a caller's
+// packet with these numbers, as agent.Peers.Search does. Without it, a flow is reset only if its packet
+// has visited all agents.
+func WithSearch(ask func(key ipv4.FlowKey, sequence, acknowledgment uint32) bool) Option {
+	return func(e *Engine) { e.searches.ask = ask }
+}
+
 // WithLoads sets the function that returns the load that another agent reported, and
 // whether the report is still valid.
 func WithLoads(f func(instance uint64) (l load.Load, known bool)) Option {
@@ -150,6 +158,7 @@
 		backend:   b,
 		directory: directory.New(),
 		unclaimed: unclaimed.New(),
+		searches:  newSearches(),
 		now:       time.Now,
 		log:       log.NewNopLogger(),
 		metrics:   newMetrics(tally.NoopScope),
@@ -180,11 +189,13 @@
 	e.ctx = ctx
 	go func() {
 		expire, stall := time.NewTicker(expireInterval), time.NewTicker(stallInterval)
-		check := time.NewTicker(checkInterval)
+		check, search := time.NewTicker(checkInterval), time.NewTicker(searchCheckInterval)
 		check.Stop()
+		search.Stop()
 		defer expire.Stop()
 		defer stall.Stop()
 		defer check.Stop()
+		defer search.Stop()
 		for {
 			select {
 			case <-ctx.Done():
@@ -201,6 +212,12 @@
 				if !e.checkWaiting() {
 					check.Stop()
 				}
+			case <-e.searches.began:
+				search.Reset(searchCheckInterval)
+			case <-search.C:
+				if !e.checkSearches() {
+					search.Stop()
+				}
 			}
 		}
 	}()
@@ -307,6 +324,7 @@
 func (e *Engine) Register(key ipv4.FlowKey, instance uint64) {
 	e.directory.Put(key, directory.Holding{Instance: instance, At: e.now()})
 	e.unclaimed.Remove(key)
+	e.endSearch(key)
 }
 
 // Unregister records that the agent with the instance no longer holds the flow.
@@ -365,5 +383,6 @@
 	now := e.now()
 	e.node.Expire()
 	e.unclaimed.Expire(now)
+	e.checkSearches()
 	e.directory.Expire(now, e.node.Table.Snapshot().Members)
 }
--- a/arbutus-agent/flow/segment.go
+++ b/arbutus-agent/flow/segment.go
@@ -14,7 +14,8 @@
 
 // handleSegment delivers a packet of an existing flow or forwards it. It sends a RST for a
 // packet of a flow that has certainly ended, and for one of an unclaimed flow only after
-// the reset delay; before that, the packet is dropped. A RST from the caller with the
+// the reset delay; before that, the packet is dropped. If the packet can't visit all agents, the
+// others are asked. A RST from the caller with the
 // expected sequence number also cancels the flow's waiting request.
 func (e *Engine) handleSegment(v *state.View, h capsule.Header, p ipv4.Packet) {
 	key := p.Key()
@@ -40,11 +41,14 @@
 			return
 		}
 	}
-	if len(visited) < capsule.MaxVisited {
-		if c, ok := v.Agents.First(placement.FlowHash(key), visited); ok {
+	if c, ok := v.Agents.First(placement.FlowHash(key), visited); ok {
+		if len(visited) < capsule.MaxVisited {
 			e.forwardPacket(v, c, h, p)
 			return
 		}
+		// A candidate that was not visited may hold the flow.
+		e.searchHolder(p)
+		return
 	}
 	if e.unclaimed.MayReset(key, e.now(), ending.ResetDelay) && e.node.UnclaimedFlowsEnded() {
 		e.sendReset(p)
--- a/arbutus-agent/serve/providers.go
+++ b/arbutus-agent/serve/providers.go
@@ -124,6 +124,7 @@
 		flow.WithReply(func(packet []byte) { _ = returnSocket.Write(packet, s.FabricReturn) }),
 		flow.WithNotify(notices.Send),
 		flow.WithDirectoryUpdates(p.Opened, p.Closed),
+		flow.WithSearch(p.Search),
 		flow.WithLoads(p.LoadOf),
 		flow.WithLogger(l),
 		flow.Without(without),
@@ -136,6 +137,9 @@
 		ProbeCallersOf: e.ProbeCallersOf,
 		Held:           e.Held,
 		Load:           e.Load,
+		Claims:         e.Claims,
+		Found:          e.Found,
+		SearchEnded:    e.SearchEnded,
 	})
 	return e
 }
--- a/arbutus-lab/sessions/large_terminating_test.go
+++ b/arbutus-lab/sessions/large_terminating_test.go
@@ -78,7 +78,9 @@
 
 // requestRepeatedly sends requests on each flow for d. It returns the flows that are still open, the
 // errors of the others, and the longest time that a request took.
-func requestRepeatedly(flows []*idleFlow, label string, d time.Duration) (open []*idleFlow, failed []error, slowest time.Duration) {
+func requestRepeatedly(
+	flows []*idleFlow, label string, d time.Duration,
+) (open []*idleFlow, failed []error, slowest time.Duration) {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	end := time.Now().Add(d)
