Reset no flows of a backend server that answers late

A liveness probe that timed out after 0.2 s counted as a death, as a refused one does, so a backend server that accepted connections late, or an agent that did not run for 0.2 s, lost all open flows.

A refused connection is still certain. Without one, two probes in a row have to time out while the agent runs, the last announcement has to be 2 s old and the last packet 1 s. New flows are kept away after the first time-out. An overdue announcement is probed after 1.6 s instead of 2 s.

TestUnansweredProbesKeepFlows, TestStoppedAgentKeepsFlows and TestSlowServerKeepsFlows failed before.

--- a/arbutus-agent/passthrough/announcements.go
+++ b/arbutus-agent/passthrough/announcements.go
@@ -132,6 +132,7 @@
 	}
 	s.known, s.withdrawn, s.dead = true, false, false
 	s.announced, s.announcedAt = a, now
+	s.silence.probes = 0
 	s.coldUntil, s.coldUnknown = now.Add(a.ColdFor), false
 	return true
 }
--- a/arbutus-agent/passthrough/liveness.go
+++ b/arbutus-agent/passthrough/liveness.go
@@ -25,6 +25,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastSentAt, s.unansweredSince, s.silentSince = now, time.Time{}, time.Time{}
+	s.silence.probes = 0
 	if s.dead {
 		s.dead = false
 		s.logChange("server_changed", s.announced)
@@ -72,7 +73,7 @@
 		return true
 	}
 	unanswered := !s.unansweredSince.IsZero() && now.Sub(s.unansweredSince) > timeout
-	overdue := !s.announcedAt.IsZero() && now.Sub(s.announcedAt) > announcementTimeout
+	overdue := !s.announcedAt.IsZero() && now.Sub(s.announcedAt) > announcementProbeTime
 	return unanswered || overdue || !s.silentSince.IsZero() || s.dead || s.withdrawn
 }
 
@@ -80,7 +81,7 @@
 // dead.
 func (s *Server) startProbe(onDeath func()) {
 	s.mu.Lock()
-	s.probing = true
+	s.probing, s.probeStartedAt = true, s.now()
 	s.mu.Unlock()
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
@@ -92,12 +93,17 @@
 }
 
 // recordProbe records the result of a liveness probe, and reports whether it changed from
-// alive to dead. With either result, the backend server no longer counts as silent, and
-// unanswered packets are forgotten.
+// alive to dead. Only a refused connection is certain: no process listens. With a connection or a
+// refused one, the backend server no longer counts as silent, and unanswered packets are forgotten.
 func (s *Server) recordProbe(err error) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.probing, s.probedAt = false, s.now()
+	if err != nil && !errors.Is(err, syscall.ECONNREFUSED) {
+		s.recordUnansweredProbe(err, s.probedAt)
+		return false
+	}
+	s.silence.probes = 0
 	died := err != nil && !s.dead
 	revived := err == nil && s.dead
 	s.dead = err != nil
--- a/arbutus-agent/passthrough/outbound.go
+++ b/arbutus-agent/passthrough/outbound.go
@@ -145,7 +145,8 @@
 
 // runChecks runs the periodic checks of the backend server: it resets flows of earlier runs,
 // stops counting first requests that were expected for too long, admits buffered SYNs, offers
-// flows that got no SYN-ACK to other agents, and starts a liveness probe if one is due.
+// flows that got no SYN-ACK to other agents, resets the flows of a backend server that has died
+// silently, and starts a liveness probe if one is due.
 func (e *Engine) runChecks() {
 	now := e.now()
 	e.mu.Lock()
@@ -171,6 +172,9 @@
 		e.offerToNext(v, f.header, p)
 	}
 	e.mu.Unlock()
+	if e.server.checkSilence(now) {
+		e.handleDeath()
+	}
 	if e.server.needsProbe(now, silenceTimeout) {
 		e.server.startProbe(e.handleDeath)
 	}
--- a/arbutus-agent/passthrough/server.go
+++ b/arbutus-agent/passthrough/server.go
@@ -19,9 +19,12 @@
 	probeInterval = 500 * time.Millisecond
 	// probeTimeout limits a liveness probe. The backend server runs on the same machine.
 	probeTimeout = 200 * time.Millisecond
-	// announcementTimeout is how long a backend server may go without an announcement
-	// before it is probed; announcements come every 1.2 s.
+	// announcementTimeout is how long a backend server that leaves probes unanswered may go
+	// without an announcement before it counts as dead; announcements come every 1.2 s.
 	announcementTimeout = 2 * time.Second
+	// announcementProbeTime is how long a backend server may go without an announcement before
+	// it is probed. Two probes can time out until announcementTimeout and a periodic check.
+	announcementProbeTime = 1600 * time.Millisecond
 	// unknownFlowsPeriod is how long after its start an agent assumes that its backend
 	// server may hold flows that it does not know. Flows are assumed not to be older, or
 	// idle for longer, than this.
@@ -77,7 +80,9 @@
 		unansweredSince time.Time
 		lastSentAt      time.Time
 		probing         bool
+		probeStartedAt  time.Time
 		probedAt        time.Time
+		silence         silence
 		// crashSuspected is set when the backend server has lost a flow, as it does in a
 		// crash.
 		crashSuspected bool
