Query other services before all agents, and ask agents that join

All services are queried in turn again, and all agents directly after that (TestOtherServiceIsQueriedFirst).

Cause 2, found by the review of the fix: a search could end without all agents. The caller's next packet ended it after a small service (TestSmallServiceEndsNoDirectSearch); agents that joined or came back during it were not asked (TestAgentThatJoinsDuringSearchIsAsked), which the removed wait after a join had covered; an agent that knew few others returned the packet as visited by all (TestAgentWithPartOfTheMembersEndsNoSearch); and the time that agents have to respond ran while they were not asked for lack of budget (TestFlowsBeyondBudgetAreNotReset).

--- a/arbutus-balancer/fabric/destination.go
+++ b/arbutus-balancer/fabric/destination.go
@@ -71,7 +71,7 @@
 	agent, ok := f.chooseByRank(target.Agents, p, hash)
 	d := destination{target: target, agent: agent, marks: capsule.MarkReportHolder}
 	if f.placement != nil && !p.IsSYN() {
-		d.visited = firstVisited(target.Agents)
+		d.visited = shortenedVisited(target.Agents)
 	}
 	return orNoAgent(d, ok)
 }
--- a/arbutus-balancer/fabric/direct.go
+++ b/arbutus-balancer/fabric/direct.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	// chainHops is how many agents a packet of an unknown flow visits one after the other in a service
-	// that has more than capsule.MaxVisited. The others are asked directly after that.
+	// chainHops is how many agents a packet of an unknown flow visits one after the other, passed on by
+	// each to the next, in a service that has more than capsule.MaxVisited. The others are asked directly
+	// if no agent of another service has the flow.
 	chainHops = capsule.MaxVisited / 2
 	// maxWaiting bounds the agents that are asked about a flow at the same time.
 	maxWaiting = 128
@@ -45,20 +46,25 @@
 		// the agent is away and may return. remaining are those that were not asked yet.
 		waiting   map[agentRef]uint64
 		remaining []agentRef
-		startedAt time.Time
+		// known are the agents that are asked in this search, and askedAt is when the last of them was
+		// asked first; zero while some remain.
+		known   map[agentRef]bool
+		askedAt time.Time
 		// uncertain is set once an agent has responded that may not know all flows of its backend
 		// server.
 		uncertain  bool
 		repeatedAt time.Time
 	}
 
-	// progress is the state of a direct search after a packet: whom to ask next, whether all agents have
+	// progress is the state of a search after a packet: whom to ask next, whether all agents have
 	// responded, and whether one of them may not know all flows of its backend server.
 	progress struct {
 		search      search
 		queries     []destination
 		isComplete  bool
 		isUncertain bool
+		// askedFor is how long ago the last agent was asked first; 0 if some were not asked yet.
+		askedFor time.Duration
 	}
 
 	// agentRef names an agent of a service.
@@ -74,9 +80,9 @@
 	}
 )
 
-// firstVisited returns the visited list with which a packet of an unknown flow is sent to the first of the
-// agents.
-func firstVisited(agents *placement.Service) []uint64 {
+// shortenedVisited returns the visited list with which a packet of an unknown flow is sent to the first of
+// the agents: none if the packet can visit all of them.
+func shortenedVisited(agents *placement.Service) []uint64 {
 	if len(agents.Candidates()) > capsule.MaxVisited {
 		return chainVisited
 	}
@@ -104,14 +110,10 @@
 	if routes.Revision.IsZero() || isResponse && !next.isComplete {
 		return
 	}
-	h.Marks &^= capsule.MarkHopLimit
-	if !next.isComplete {
-		h.Marks |= capsule.MarkHopLimit
-	}
 	if next.isUncertain {
 		h.Marks |= capsule.MarkUncertain
 	}
-	f.endUnclaimed(routes, h, p, next.search)
+	f.endUnclaimed(routes, h, p, next)
 }
 
 // sendQueries sends the packet to each of the agents alone.
@@ -147,34 +149,41 @@
 		return progress{}, false
 	}
 	if s.direct == nil {
-		s.direct = newDirectSearch(targets, now)
+		s.direct = &directSearch{waiting: make(map[agentRef]uint64), known: make(map[agentRef]bool)}
 	}
+	d := s.direct
 	s.usedAt = now
 	next := progress{search: *s}
 	if isResponse {
-		s.direct.recordResponse(h)
+		d.recordResponse(h)
 	} else {
-		next.queries = p.repeat(s.direct, targets, now)
+		next.queries = p.repeat(d, targets, now)
+	}
+	if !isResponse || d.isComplete() {
+		d.addCandidates(targets)
+	}
+	next.queries = append(next.queries, p.askNext(d, targets, now)...)
+	next.isComplete, next.isUncertain = d.isComplete(), d.uncertain
+	if !d.askedAt.IsZero() {
+		next.askedFor = now.Sub(d.askedAt)
 	}
-	next.queries = append(next.queries, p.askNext(s.direct, targets, now)...)
-	next.isComplete = len(s.direct.waiting)+len(s.direct.remaining) == 0
-	next.isUncertain = s.direct.uncertain
 	return next, true
 }
 
-func newDirectSearch(targets []*state.Target, now time.Time) *directSearch {
-	s := &directSearch{waiting: make(map[agentRef]uint64), startedAt: now}
-	known := make(map[agentRef]bool)
+func (s *directSearch) isComplete() bool { return len(s.waiting)+len(s.remaining) == 0 }
+
+// addCandidates adds the agents that are not known in this search: all of them at its beginning, and those
+// that have joined or come back since.
+func (s *directSearch) addCandidates(targets []*state.Target) {
 	for _, t := range targets {
 		for _, c := range t.Agents.Candidates() {
 			ref := agentRef{service: t.Key, name: c.Name}
-			if !known[ref] {
-				known[ref] = true
+			if !s.known[ref] {
+				s.known[ref] = true
 				s.remaining = append(s.remaining, ref)
 			}
 		}
 	}
-	return s
 }
 
 // recordResponse records the response of the target. If another agent has passed the packet on to it, as
@@ -216,8 +225,12 @@
 	for len(s.remaining) > 0 && len(s.waiting) < maxWaiting && p.budget.allows(now) {
 		ref := s.remaining[0]
 		s.remaining = s.remaining[1:]
+		s.askedAt = now
 		queries = p.ask(s, targets, ref, now, queries)
 	}
+	if len(s.remaining) > 0 {
+		s.askedAt = time.Time{}
+	}
 	return queries
 }
 
--- a/arbutus-balancer/fabric/direct_test.go
+++ b/arbutus-balancer/fabric/direct_test.go
@@ -29,11 +29,16 @@
 	return d
 }
 
-// endChain returns the packet as the last agent of a chain does that has reached the hop limit, and
-// returns the queries that the balancer then sends.
+// endChain returns the packet as the last agent of desk does that has reached the hop limit, and then, if
+// it is passed on to the agents of plots, as the last one of these. It returns the direct queries that the
+// balancer then sends.
 func (d *testBalancer) endChain(b []byte) []sentCapsule {
 	d.sent = nil
 	d.forwarder.HandleUnclaimed(capsule.Header{Service: capsule.KeyOf("desk"), Marks: capsule.MarkHopLimit}, b)
+	if len(d.sent) == 1 && !d.sent[0].h.Marks.Has(capsule.MarkDirect) {
+		d.sent = nil
+		d.forwarder.HandleUnclaimed(capsule.Header{Service: capsule.KeyOf("plots")}, b)
+	}
 	return d.sent
 }
 
@@ -194,6 +199,80 @@
 	g.Expect(d.resets).To(Equal(1))
 }
 
+// TestOtherServiceIsQueriedFirst guards against direct queries to all agents for a flow that the directory
+// replicas of another service know: the weights of its route have changed since it was opened.
+func TestOtherServiceIsQueriedFirst(t *testing.T) {
+	g, d := NewWithT(t), newLargeBalancer(t)
+	d.forwarder.HandleUnclaimed(
+		capsule.Header{Service: capsule.KeyOf("desk"), Marks: capsule.MarkHopLimit}, deskPacket(1, ipv4.FlagACK))
+	g.Expect(d.sent).To(HaveLen(1))
+	g.Expect(d.sent[0].h.Service).To(Equal(capsule.KeyOf("plots")))
+	g.Expect(d.sent[0].h.Marks.Has(capsule.MarkDirect)).To(BeFalse())
+}
+
+// TestSmallServiceEndsNoDirectSearch guards against a reset because the caller's next packet was returned by
+// all agents of a small service, while agents of a large one have not responded.
+func TestSmallServiceEndsNoDirectSearch(t *testing.T) {
+	g, d := NewWithT(t), newLargeBalancer(t)
+	b := deskPacket(1, ipv4.FlagACK)
+	d.endChain(b)
+	for range 4 {
+		d.now = d.now.Add(200 * time.Millisecond)
+		d.forwarder.HandleUnclaimed(capsule.Header{Service: capsule.KeyOf("plots")}, b)
+	}
+	g.Expect(d.resets).To(BeZero())
+}
+
+// TestAgentWithPartOfTheMembersEndsNoSearch guards against a reset because an agent that has just started,
+// and knows few others, returns a packet as if all had been visited.
+func TestAgentWithPartOfTheMembersEndsNoSearch(t *testing.T) {
+	g, d := NewWithT(t), newLargeBalancer(t)
+	for _, service := range []string{"desk", "plots"} {
+		d.forwarder.HandleUnclaimed(capsule.Header{Service: capsule.KeyOf(service)}, deskPacket(1, ipv4.FlagACK))
+	}
+	g.Expect(d.resets).To(BeZero())
+	g.Expect(len(d.sent)).To(BeNumerically(">", largeDesk))
+}
+
+// TestAgentThatJoinsDuringSearchIsAsked guards against the reset of a flow whose holder became known, or came
+// back, after the search for it had begun.
+func TestAgentThatJoinsDuringSearchIsAsked(t *testing.T) {
+	g, d := NewWithT(t), newLargeBalancer(t)
+	b := deskPacket(1, ipv4.FlagACK)
+	queries := d.endChain(b)
+	for _, q := range queries[1:] {
+		d.respond(q, b, 0)
+	}
+	joined := agentOf("desk", "middle", largeDesk+1)
+	d.node.Table.Merge(joined)
+	d.node.Rebuild()
+	d.now = time.Now().Add(2 * time.Second)
+	d.sent = nil
+	d.respond(queries[0], b, 0)
+	g.Expect(d.resets).To(BeZero())
+	g.Expect(d.sent).To(HaveLen(1))
+	g.Expect(d.sent[0].h.Target).To(Equal(joined.Instance))
+	d.respond(d.sent[0], b, 0)
+	g.Expect(d.resets).To(Equal(1))
+}
+
+// TestFlowsBeyondBudgetAreNotReset guards against the reset of flows whose agents were not asked, because
+// the balancer knows none of very many flows and its queries are bounded.
+func TestFlowsBeyondBudgetAreNotReset(t *testing.T) {
+	g, d := NewWithT(t), newLargeBalancer(t)
+	const flows = 200
+	for passed := time.Duration(0); passed < ending.AnswerTime+2*time.Second; passed += time.Second {
+		for port := range uint16(flows) {
+			d.endChain(deskPacket(port, ipv4.FlagACK))
+		}
+		if passed < ending.AnswerTime {
+			g.Expect(d.resets).To(BeZero(), "after %v", passed)
+		}
+		d.now = d.now.Add(time.Second)
+	}
+	g.Expect(d.resets).To(BeNumerically("<", flows/2), "most flows have not been asked for")
+}
+
 // TestDirectQueriesAreBounded guards against a balancer that floods agents with queries when it knows none
 // of many flows that have ended, and against flows that are not reset after that.
 func TestDirectQueriesAreBounded(t *testing.T) {
--- a/arbutus-balancer/fabric/unclaimed.go
+++ b/arbutus-balancer/fabric/unclaimed.go
@@ -73,7 +73,7 @@
 		h.Marks |= capsule.MarkUncertain
 	}
 	targets := routes.Targets(route, hash, maxOtherServices)
-	if isDirect || h.Marks.Has(capsule.MarkHopLimit) {
+	if isDirect {
 		f.searchDirectly(routes, targets, h, p)
 		return
 	}
@@ -82,8 +82,20 @@
 		f.query(routes, t, h, p, hash)
 		return
 	}
+	if h.Marks.Has(capsule.MarkHopLimit) || s.direct != nil || exceedHops(targets) {
+		f.searchDirectly(routes, targets, h, p)
+		return
+	}
 	f.placement.endSearch(p.Key)
-	f.endUnclaimed(routes, h, p, s)
+	f.endUnclaimed(routes, h, p, progress{search: s, isComplete: true})
+}
+
+// exceedHops reports whether a service has more agents than a packet can visit. The agents' own mark is no
+// proof of the contrary: one that has just started may know only some of the others.
+func exceedHops(targets []*state.Target) bool {
+	return slices.ContainsFunc(targets, func(t *state.Target) bool {
+		return len(t.Agents.Candidates()) > capsule.MaxVisited
+	})
 }
 
 // nextTarget returns the first target that has agents and has not been queried. It
@@ -107,7 +119,7 @@
 		return
 	}
 	if len(h.Visited) == 0 {
-		h.Visited = firstVisited(t.Agents)
+		h.Visited = shortenedVisited(t.Agents)
 	}
 	next := capsule.Header{
 		Visited:  h.Visited,
@@ -137,20 +149,18 @@
 
 // endUnclaimed drops a packet that no service claimed, and resets its flow once that has certainly
 // ended (see ending.OfUnclaimed). No reset is sent for a RST.
-func (f *Forwarder) endUnclaimed(routes *state.Routes, h capsule.Header, p frame.Frame, s search) {
+func (f *Forwarder) endUnclaimed(routes *state.Routes, h capsule.Header, p frame.Frame, s progress) {
 	now := f.placement.now()
-	first := f.placement.unclaimed.Record(p.Key, now, func() []string { return f.absentHolders(s, now) })
+	first := f.placement.unclaimed.Record(p.Key, now, func() []string { return f.absentHolders(s.search, now) })
 	evidence := ending.Unclaimed{
 		Uncertain:  h.Marks.Has(capsule.MarkUncertain),
-		Unanswered: h.Marks.Has(capsule.MarkHopLimit),
+		Unanswered: !s.isComplete,
+		AskedFor:   s.askedFor,
 		Away:       slices.ContainsFunc(first.Absent, func(name string) bool { return f.node.IsAway(name, now) }),
 		SinceJoin:  now.Sub(f.node.LastJoin()),
 		Behind:     f.isBehind(routes, now),
 		For:        now.Sub(first.At),
 	}
-	if s.direct != nil {
-		evidence.SearchedFor = now.Sub(s.direct.startedAt)
-	}
 	if evidence.Away {
 		f.placement.unclaimed.Postpone(p.Key, now)
 	}
--- a/common/state/ending/ending.go
+++ b/common/state/ending/ending.go
@@ -68,9 +68,9 @@
 		Uncertain bool
 		// Unanswered is set if some agents have not said yet whether they hold the flow.
 		Unanswered bool
-		// SearchedFor is how long these agents have been asked. It may be shorter than For: a search
-		// ends once all agents have responded, even if the flow is not reset.
-		SearchedFor time.Duration
+		// AskedFor is how long ago the last of the agents was asked first; 0 if some were not asked
+		// yet.
+		AskedFor time.Duration
 		// Away is set if an agent that could not be asked since the flow was first
 		// unclaimed may return, and no directory replica rules out that it holds the flow.
 		Away bool
@@ -118,7 +118,7 @@
 // OfUnclaimed returns whether the flow has ended. It never returns PassOn.
 func OfUnclaimed(u Unclaimed) Verdict {
 	doubtful := u.Uncertain || u.SinceJoin < SettleTime
-	if u.Away || u.Behind || u.Unanswered && u.SearchedFor < AnswerTime || doubtful && u.For < ResetDelay {
+	if u.Away || u.Behind || u.Unanswered && u.AskedFor < AnswerTime || doubtful && u.For < ResetDelay {
 		return Wait
 	}
 	return Reset
--- a/common/state/ending/ending_test.go
+++ b/common/state/ending/ending_test.go
@@ -40,13 +40,13 @@
 		u := Unclaimed{
 			Uncertain: rapid.Bool().Draw(t, "uncertain"), Unanswered: rapid.Bool().Draw(t, "unanswered"),
 			Away: rapid.Bool().Draw(t, "away"), Behind: rapid.Bool().Draw(t, "behind"),
-			SinceJoin: duration("since_join"), For: duration("for"), SearchedFor: duration("searched_for"),
+			SinceJoin: duration("since_join"), For: duration("for"), AskedFor: duration("searched_for"),
 		}
 		verdict := OfUnclaimed(u)
 		switch {
 		case u.Away || u.Behind:
 			g.Expect(verdict).To(Equal(Wait))
-		case u.Unanswered && u.SearchedFor < AnswerTime:
+		case u.Unanswered && u.AskedFor < AnswerTime:
 			g.Expect(verdict).To(Equal(Wait))
 		case u.For >= ResetDelay:
 			g.Expect(verdict).To(Equal(Reset))
