--- a/arbutus-lab/sessions/large_terminating_test.go
+++ b/arbutus-lab/sessions/large_terminating_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/netip"
 	"slices"
 	"sync"
 	"syscall"
@@ -26,6 +27,8 @@
 	// roundTime is how long requests are sent after each restart, with requestPause between two on a flow.
 	roundTime    = 1500 * time.Millisecond
 	requestPause = 50 * time.Millisecond
+	// updatesLostFor is how long links are cut: longer than the reset delay and a retransmission.
+	updatesLostFor = 4 * time.Second
 	// settleTime is enough for all processes to know all agents, and to publish their flows.
 	settleTime = 5 * time.Second
 	// endedFlowResetTime is the reset delay of 1.5 s, one retransmission after it and the ways of packets.
@@ -134,6 +137,39 @@
 	})
 }
 
+// TestFlowIsNotResetWhileUpdatesAreLost guards against the reset of an open flow whose holder is beyond the
+// hop limit while its updates don't reach the agents that are to have the flow listed: they have restarted,
+// and the links from the holders to them are cut in this direction for longer than the reset delay.
+func TestFlowIsNotResetWhileUpdatesAreLost(t *testing.T) {
+	runSession(t, *largeSeed, func(w *deployment) {
+		w.startTerminating(grownFrom)
+		flows, failed := w.openIdle()
+		w.g.Expect(failed).To(BeEmpty())
+		added := numbersOfAgents(grownFrom, grownTo)
+		w.startTerminatingAgents(added)
+		time.Sleep(settleTime)
+		restarted := slices.DeleteFunc(added, func(i int) bool { return i%len(largeDomains) >= restartedDomains })
+		w.killAgents(restarted)
+		holders, deaf := w.hostsOfAgents(numbersOfAgents(0, grownFrom)), w.hostsOfAgents(restarted)
+		heal := w.cut(func(from, to netip.Addr) bool { return holders[from] && deaf[to] })
+		time.Sleep(restartPause)
+		w.startTerminatingAgents(restarted)
+		time.AfterFunc(updatesLostFor, heal)
+		_, failed, slowest := requestRepeatedly(flows, "cut", updatesLostFor)
+		t.Logf("flows=%d failed=%d slowest=%v", len(flows), len(failed), slowest)
+		w.g.Expect(failed).To(BeEmpty())
+	})
+}
+
+// hostsOfAgents returns the addresses of the agents with the numbers.
+func (w *deployment) hostsOfAgents(numbers []int) map[netip.Addr]bool {
+	hosts := make(map[netip.Addr]bool)
+	for _, i := range numbers {
+		hosts[w.address(agentWithNumber(i), 0).Addr()] = true
+	}
+	return hosts
+}
+
 // TestEndedFlowOfLargeServiceIsReset guards against a flow that is not reset, or later than without a
 // search, after its holder was killed and nobody has it listed. It logs how long the resets take.
 func TestEndedFlowOfLargeServiceIsReset(t *testing.T) {
