Reset searched flows at last if an agent does not answer

An agent that does not answer, though it counts as alive, kept a terminated flow beyond the hop limit from being reset for as long as its caller retransmitted. As balancers do, the searching agent now resets the flow after ending.AnswerTime (10 s), and says unanswered=true in its log.

--- a/arbutus-agent/agent/search.go
+++ b/arbutus-agent/agent/search.go
@@ -10,6 +10,7 @@
 
 	controlv1 "arbutusfront.dev/common/protocol/gen/arbutus/control/v1"
 	"arbutusfront.dev/common/protocol/ipv4"
+	"arbutusfront.dev/common/state/ending"
 	"arbutusfront.dev/common/state/placement"
 	"arbutusfront.dev/common/transport/wait"
 )
@@ -24,7 +25,7 @@
 	searchPause = time.Millisecond
 	// searchTimeout ends a round in which an agent does not answer, although no balancer has
 	// declared it dead.
-	searchTimeout = 10 * time.Second
+	searchTimeout = ending.AnswerTime
 	// maxSearched bounds the flows that wait for a round, and maxRounds the rounds that wait for
 	// answers.
 	maxSearched = 4096
@@ -145,7 +146,7 @@
 		for _, c := range missing {
 			p.send(c.Packet, m)
 		}
-		if !r.wait(ctx, delay) {
+		if !r.wait(ctx, min(delay, time.Until(end))) {
 			break
 		}
 	}
@@ -153,7 +154,10 @@
 	delete(p.searches.rounds, sequence)
 	silent := len(r.awaited)
 	p.mu.Unlock()
-	if silent > 0 && ctx.Err() == nil {
+	if ctx.Err() != nil {
+		return
+	}
+	if silent > 0 {
 		_ = level.Warn(p.log).Log("event", "flow_search_incomplete", "flows", len(r.flows), "silent", silent)
 	}
 	for i, f := range r.flows {
--- a/arbutus-agent/flow/search.go
+++ b/arbutus-agent/flow/search.go
@@ -46,6 +46,8 @@
 		askedAt time.Time
 		// denied is set if all agents have denied that they hold the flow, asked confirmAfter or later.
 		denied bool
+		// unanswered is set if some agents have not answered for ending.AnswerTime.
+		unanswered bool
 		// ended is set once the flow was reset.
 		ended bool
 	}
@@ -61,7 +63,8 @@
 
 // searchHolder asks all other agents whether they hold the flow of a packet that has not visited
 // all of them, and asks again before the reset delay has passed. The flow is reset after the delay
-// if all have denied it both times. Until then its packets are dropped.
+// if all have denied it both times, or after ending.AnswerTime if some don't answer. Until then its
+// packets are dropped.
 func (e *Engine) searchHolder(p ipv4.Packet) {
 	reset := ipv4.Reset(p)
 	if reset == nil || !p.Flags().Has(ipv4.FlagACK) {
@@ -107,7 +110,7 @@
 // isDue reports whether all agents have to be asked: when the search begins, and once more before
 // the reset.
 func (s *search) isDue(now time.Time) bool {
-	return !s.ended && !s.denied && !s.asking &&
+	return !s.ended && !s.denied && !s.unanswered && !s.asking &&
 		(s.askedAt.IsZero() || now.Sub(s.firstAt) >= confirmAfter)
 }
 
@@ -115,15 +118,15 @@
 // searches.mu must be held.
 func (e *Engine) continueSearch(key ipv4.FlowKey, s *search, now time.Time) {
 	mayEnd := e.node.UnclaimedFlowsEnded()
-	if s.denied && !s.ended && now.Sub(s.firstAt) >= ending.ResetDelay {
+	if (s.denied || s.unanswered) && !s.ended && now.Sub(s.firstAt) >= ending.ResetDelay {
 		if mayEnd {
 			s.ended = true
-			e.logReset(key, now.Sub(s.firstAt))
+			e.logReset(key, s, now)
 			e.resetSearched(s)
 			return
 		}
 		// A region may be partitioned since. Its agents are asked when they are known again.
-		s.denied = false
+		s.denied, s.unanswered = false, false
 	}
 	if s.isDue(now) && (s.askedAt.IsZero() || mayEnd) {
 		if s.asking = e.searches.ask(key, s.sequence, s.acknowledgment); s.asking {
@@ -142,10 +145,13 @@
 		return
 	}
 	s.asking = false
-	if denied && s.askedAt.Sub(s.firstAt) >= confirmAfter {
-		s.denied = true
+	now := e.now()
+	if denied {
+		s.denied = s.askedAt.Sub(s.firstAt) >= confirmAfter
+	} else {
+		s.unanswered = now.Sub(s.firstAt) >= ending.AnswerTime
 	}
-	e.continueSearch(key, s, e.now())
+	e.continueSearch(key, s, now)
 }
 
 // Found records the agent with the instance as the holder of a flow that was searched for. The entry is
@@ -198,11 +204,11 @@
 	e.reply(s.reset)
 }
 
-func (e *Engine) logReset(key ipv4.FlowKey, unclaimed time.Duration) {
-	if suppressed, ok := e.samplers.refused.Allow(e.now()); ok {
+func (e *Engine) logReset(key ipv4.FlowKey, s *search, now time.Time) {
+	if suppressed, ok := e.samplers.refused.Allow(now); ok {
 		_ = level.Info(e.log).Log(
 			"event", "flow_reset", "reason", "no_holder", "caller", key.Caller, "service", key.Service,
-			"unclaimed_for", unclaimed, "left_out", suppressed,
+			"unanswered", s.unanswered, "unclaimed_for", now.Sub(s.firstAt), "left_out", suppressed,
 		)
 	}
 }
