--- a/common/transport/network/network.go
+++ b/common/transport/network/network.go
@@ -67,7 +67,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &trackedConn{Conn: c}, nil
+		return newTrackedConn(c), nil
 	}
 	return &http.Client{Transport: silenceCloser{t}}
 }
--- a/common/transport/network/silent_test.go
+++ b/common/transport/network/silent_test.go
@@ -5,7 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"sync"
+	"net/http/httptrace"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -26,33 +26,25 @@
 	return c.Conn.Write(b)
 }
 
-// dials is a network whose connections can be made silent, and counts them.
-type dials struct {
-	mu    sync.Mutex
-	conns []*atomic.Bool
-}
-
-func (d *dials) network() Network {
+// silenceable returns the machine's network with connections that can be made silent.
+func silenceable() Network {
 	n := System()
 	dial := n.Dial
 	n.Dial = func(ctx context.Context, to string) (net.Conn, error) {
 		c, err := dial(ctx, to)
-		if err != nil {
-			return nil, err
-		}
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		silent := new(atomic.Bool)
-		d.conns = append(d.conns, silent)
-		return silentConn{Conn: c, silent: silent}, nil
+		return silentConn{Conn: c, silent: new(atomic.Bool)}, err
 	}
 	return n
 }
 
-func (d *dials) count() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return len(d.conns)
+// onConn makes the request with the returned context call f with the connection that it uses.
+// Consecutive requests may use two: the transport also sets one up for a request that starts
+// before the connection of the last one is idle.
+func onConn(ctx context.Context, f func(*trackedConn)) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		c, _ := i.Conn.(*trackedConn)
+		f(c)
+	}})
 }
 
 // get requests the URL and returns the error. The request times out after the given time.
@@ -73,7 +65,7 @@
 // newServer serves HTTP/2 without TLS. Requests for /slow take a second.
 func newServer(t *testing.T) *httptest.Server {
 	t.Helper()
-	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return serve(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/slow" {
 			select {
 			case <-time.After(time.Second):
@@ -81,7 +73,12 @@
 			}
 		}
 		w.WriteHeader(http.StatusOK)
-	}))
+	})
+}
+
+func serve(t *testing.T, h http.HandlerFunc) *httptest.Server {
+	t.Helper()
+	s := httptest.NewUnstartedServer(h)
 	s.Config.Protocols = new(http.Protocols)
 	s.Config.Protocols.SetUnencryptedHTTP2(true)
 	s.Start()
@@ -93,49 +90,54 @@
 // become silent, until a ping on it times out.
 func TestSilentConnectionIsNotUsedAgain(t *testing.T) {
 	g, s := NewWithT(t), newServer(t)
-	d := new(dials)
-	c := d.network().HTTP2Client()
+	c := silenceable().HTTP2Client()
 	defer c.CloseIdleConnections()
 	g.Expect(get(t.Context(), c, s.URL, time.Second)).To(Succeed())
 	g.Expect(get(t.Context(), c, s.URL, time.Second)).To(Succeed())
-	g.Expect(d.count()).To(Equal(1))
-	d.conns[0].Store(true)
-	g.Expect(get(t.Context(), c, s.URL, 100*time.Millisecond)).To(MatchError(context.DeadlineExceeded))
-	g.Expect(get(t.Context(), c, s.URL, time.Second)).To(Succeed())
-	g.Expect(d.count()).To(Equal(2))
+	var silent, used atomic.Pointer[trackedConn]
+	silence := onConn(t.Context(), func(c *trackedConn) {
+		c.Conn.(silentConn).silent.Store(true)
+		silent.Store(c)
+	})
+	g.Expect(get(silence, c, s.URL, 100*time.Millisecond)).To(MatchError(context.DeadlineExceeded))
+	g.Expect(silent.Load()).NotTo(BeNil())
+	g.Expect(get(onConn(t.Context(), used.Store), c, s.URL, time.Second)).To(Succeed())
+	g.Expect(used.Load()).NotTo(BeIdenticalTo(silent.Load()))
 }
 
 // TestSlowResponseClosesNoConnection guards against calls that fail because another one on the
 // same connection, whose peer still responds, has timed out.
 func TestSlowResponseClosesNoConnection(t *testing.T) {
 	g, s := NewWithT(t), newServer(t)
-	d := new(dials)
-	c := d.network().HTTP2Client()
+	c := silenceable().HTTP2Client()
 	defer c.CloseIdleConnections()
 	g.Expect(get(t.Context(), c, s.URL, time.Second)).To(Succeed())
 	slow := make(chan error, 1)
-	go func() { slow <- get(t.Context(), c, s.URL+"/slow", 300*time.Millisecond) }()
+	var used atomic.Pointer[trackedConn]
+	go func() { slow <- get(onConn(t.Context(), used.Store), c, s.URL+"/slow", 300*time.Millisecond) }()
 	time.Sleep(100 * time.Millisecond)
 	g.Expect(get(t.Context(), c, s.URL, time.Second)).To(Succeed())
 	g.Expect(<-slow).To(MatchError(context.DeadlineExceeded))
 	g.Expect(get(t.Context(), c, s.URL, time.Second)).To(Succeed())
-	g.Expect(d.count()).To(Equal(1))
+	g.Expect(used.Load().discarded.Load()).To(BeFalse())
+	g.Expect(used.Load().released).NotTo(BeClosed())
 }
 
 // TestCanceledRequestClosesNoConnection guards against calls that fail because another one on the
 // same connection was canceled before its response could arrive.
 func TestCanceledRequestClosesNoConnection(t *testing.T) {
 	g, s := NewWithT(t), newServer(t)
-	d := new(dials)
-	c := d.network().HTTP2Client()
+	c := silenceable().HTTP2Client()
 	defer c.CloseIdleConnections()
 	g.Expect(get(t.Context(), c, s.URL, time.Second)).To(Succeed())
-	ctx, cancel := context.WithCancel(t.Context())
+	var used atomic.Pointer[trackedConn]
+	ctx, cancel := context.WithCancel(onConn(t.Context(), used.Store))
 	canceled := make(chan error, 1)
 	go func() { canceled <- get(ctx, c, s.URL+"/slow", time.Second) }()
 	time.Sleep(100 * time.Millisecond)
 	cancel()
 	g.Expect(<-canceled).To(MatchError(context.Canceled))
 	g.Expect(get(t.Context(), c, s.URL, time.Second)).To(Succeed())
-	g.Expect(d.count()).To(Equal(1))
+	g.Expect(used.Load().discarded.Load()).To(BeFalse())
+	g.Expect(used.Load().released).NotTo(BeClosed())
 }
