--- a/arbutus-balancer/store/watcher.go
+++ b/arbutus-balancer/store/watcher.go
@@ -181,12 +181,13 @@
 			pause = w.electionPause()
 			continue
 		}
-		next, err := w.watchOnce(ctx, version)
+		next, err := w.watchOnce(ctx, version, w.waitAfter(failures))
+		if err != nil && w.isRestoredSince(era) {
+			pause, failures = 0, 0
+			continue
+		}
 		if err != nil {
-			pause = retry.After(failures)
-			if w.node.Config.Current() == nil && failures < eagerAttempts {
-				pause = retry.After(0)
-			}
+			pause = w.pauseAfter(failures)
 			failures++
 			_ = level.Warn(w.log).Log("event", "store_unreachable", "failures", failures, "retry_in", pause, "err", err)
 			continue
@@ -199,6 +200,29 @@
 	}
 }
 
+// isRestoredSince reports whether the store has responded, if only with an error, in a later era than
+// the given one. What was read before is then read again at once.
+func (w *Watcher) isRestoredSince(era uint64) bool {
+	return era != 0 && era != w.client.Eras.Current()
+}
+
+// pauseAfter returns the pause after a failed watch that follows the given number of others.
+func (w *Watcher) pauseAfter(failures int) time.Duration {
+	if w.node.Config.Current() == nil && failures < eagerAttempts {
+		return retry.After(0)
+	}
+	return retry.After(failures)
+}
+
+// waitAfter returns how long a watch waits after that many failed ones. The first one after a failure
+// doesn't wait: the store may have been restored meanwhile, and only a response tells.
+func (w *Watcher) waitAfter(failures int) time.Duration {
+	if failures > 0 && w.applier != nil {
+		return 0
+	}
+	return w.wait
+}
+
 // reportEra logs and measures the store's first era that is known, or a later one.
 func (w *Watcher) reportEra(former, current uint64) {
 	event := "store_restored"
@@ -237,18 +261,18 @@
 	return electionInterval
 }
 
-// watchOnce waits for a head later than the version, adopts its revision if that is newer,
+// watchOnce waits up to the given time for a head later than the version, adopts its revision if that is newer,
 // and returns the head's version. If no such head comes in time, it returns the version
 // unchanged. In both cases the store has confirmed the revision in force, which
 // watchOnce records. If the store is restored meanwhile, versions start again, and watchOnce
 // returns 0. The store client's timeout ends a stalled watch.
-func (w *Watcher) watchOnce(ctx context.Context, version uint64) (uint64, error) {
+func (w *Watcher) watchOnce(ctx context.Context, version uint64, limit time.Duration) (uint64, error) {
 	era := w.client.Eras.Current()
-	e, err := w.client.Watch(ctx, store.KeyHead, version, w.wait)
+	e, err := w.watchHead(ctx, version, limit)
 	if err != nil {
 		return version, err
 	}
-	if era != 0 && era != w.client.Eras.Current() {
+	if w.isRestoredSince(era) {
 		return 0, nil
 	}
 	known := w.node.Config.Current()
@@ -262,6 +286,43 @@
 	return w.adopt(ctx, e, version)
 }
 
+// watchHead waits up to the given time for a head later than the version. It doesn't wait if a revision
+// is in force but no head has been seen, as the store may have lost it. Nor does it wait any longer
+// once the first revision has come from a peer.
+func (w *Watcher) watchHead(ctx context.Context, version uint64, limit time.Duration) (store.Entry, error) {
+	if version != 0 || w.applier == nil {
+		return w.client.Watch(ctx, store.KeyHead, version, limit)
+	}
+	adopted := w.node.Config.Changed()
+	if w.node.Config.Current() != nil {
+		return w.client.Watch(ctx, store.KeyHead, version, 0)
+	}
+	watching, cancel := context.WithCancel(ctx)
+	done := cancelOn(watching, adopted, cancel)
+	e, err := w.client.Watch(watching, store.KeyHead, version, limit)
+	cancel()
+	<-done
+	if err != nil && ctx.Err() == nil && w.node.Config.Current() != nil {
+		return w.client.Watch(ctx, store.KeyHead, version, 0)
+	}
+	return e, err
+}
+
+// cancelOn calls cancel when the signal is closed. The returned channel is closed then, or when ctx is
+// canceled.
+func cancelOn(ctx context.Context, signal <-chan struct{}, cancel context.CancelFunc) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		select {
+		case <-signal:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return done
+}
+
 // adopt adopts the revision of the head's entry if it is newer than the one in force, or writes
 // the one in force back if it is older. It returns the entry's version, or with an error the
 // given one.
