--- a/arbutus-lab/sessions/large_service_test.go
+++ b/arbutus-lab/sessions/large_service_test.go
@@ -41,9 +41,17 @@
 	server string
 }
 
-// startLargeService starts a pass-through deployment with one service.
+// startLargeService starts a pass-through deployment with one service of largeService agents, and
+// largeBalancers balancers.
 func (w *deployment) startLargeService() map[string]*passThroughServer {
-	cfg := config.Config{Deployment: config.Deployment{Name: "large"}}
+	servers, _ := w.startLarge(largeService, largeBalancers)
+	return servers
+}
+
+// startLarge starts a pass-through deployment with one service. Flows remain when their failure domain
+// is taken out.
+func (w *deployment) startLarge(agents, balancers int) (map[string]*passThroughServer, config.Config) {
+	cfg := config.Config{Deployment: config.Deployment{Name: "large", DomainOut: config.KeepFlows}}
 	for _, d := range largeDomains {
 		cfg.Domains = append(cfg.Domains, config.Domain{Name: d, State: config.DomainIn})
 	}
@@ -52,27 +60,27 @@
 		BackendClass: config.BackendClass{Slots: deskServers, Connections: 2000},
 	}}
 	w.applyConfig(cfg)
-	w.startLargeBalancers(1)
+	w.startLargeBalancers(1, balancers)
 	servers := make(map[string]*passThroughServer)
-	for i := range largeService {
+	for i := range agents {
 		name, domain := fmt.Sprintf("desk-%d", i+1), largeDomains[i%len(largeDomains)]
 		servers[name] = w.startFlowServer(name, "desk", domain)
 		w.startPassThroughAgent(name, "desk", domain, servers[name])
 	}
 	w.updateFabric()
 	time.Sleep(5 * time.Second)
-	w.g.Expect(w.fabric.ReadyCount()).To(Equal(largeBalancers))
-	return servers
+	w.g.Expect(w.fabric.ReadyCount()).To(Equal(balancers))
+	return servers, cfg
 }
 
-// startLargeBalancers starts largeBalancers balancers, the first one with the number. The fabric sends
-// packets only to these once updateFabric was called.
-func (w *deployment) startLargeBalancers(first int) {
+// startLargeBalancers starts n balancers, the first one with the number. The fabric sends packets only
+// to these once updateFabric was called.
+func (w *deployment) startLargeBalancers(first, n int) {
 	w.mu.Lock()
 	w.balancers = nil
 	w.mu.Unlock()
-	for i, domain := range largeDomains {
-		w.startPassThroughBalancer(fmt.Sprintf("balancer-%d", first+i), domain)
+	for i := range n {
+		w.startPassThroughBalancer(fmt.Sprintf("balancer-%d", first+i), largeDomains[i%len(largeDomains)])
 	}
 }
 
@@ -179,7 +187,7 @@
 			name := fmt.Sprintf("desk-%d", i+1)
 			w.startPassThroughAgent(name, "desk", largeDomains[i%len(largeDomains)], servers[name])
 		}
-		w.startLargeBalancers(largeBalancers + 1)
+		w.startLargeBalancers(largeBalancers+1, largeBalancers)
 		time.Sleep(3 * time.Second)
 		w.updateFabric()
 		time.Sleep(5 * time.Second)
--- a/arbutus-lab/sessions/random_orders_test.go
+++ b/arbutus-lab/sessions/random_orders_test.go
@@ -27,6 +27,8 @@
 	ordersSettle = 6 * time.Second
 	// ordersFlowPause is the time between two flows that callers open.
 	ordersFlowPause = 30 * time.Millisecond
+	// eventPause is the least time between two events that affect the same process.
+	eventPause = 300 * time.Millisecond
 	// firstOrderedPort is the caller's port of the first flow.
 	firstOrderedPort = 30000
 )
@@ -86,7 +88,7 @@
 
 // crashServer makes the backend server lose its flows and respond to nothing, and then starts it again.
 func (o *order) crashServer(target string, d time.Duration) {
-	s := o.servers[target]
+	s := o.server(target)
 	setSilent := func(silent bool) {
 		s.flowServer.mu.Lock()
 		defer s.flowServer.mu.Unlock()
@@ -117,7 +119,7 @@
 	o.w.mu.Unlock()
 	o.w.stop(target)
 	time.Sleep(d)
-	o.w.startPassThroughAgent(target, service, domain, o.servers[target])
+	o.w.startPassThroughAgent(target, service, domain, o.server(target))
 }
 
 func (o *order) restartBalancer(target string, d time.Duration) {
@@ -140,23 +142,34 @@
 		key = target
 	}
 	d := e.min + time.Duration(o.random.Int64N(int64(e.max-e.min)))
+	o.run(key, fmt.Sprintf("%s %s for %v", e.name, target, d.Round(time.Millisecond)), func() { e.happen(o, target, d) })
+}
+
+// run runs the event in the background, records it under the description, and returns true. It does
+// nothing while another event with the key runs, or within eventPause of its end.
+func (o *order) run(key, description string, event func()) bool {
 	o.mu.Lock()
+	defer o.mu.Unlock()
 	if o.busy[key] {
-		o.mu.Unlock()
-		return
+		return false
 	}
 	o.busy[key] = true
-	o.events = append(o.events, fmt.Sprintf(
-		"%v: %s %s for %v", time.Since(o.began).Round(time.Millisecond), e.name, target,
-		d.Round(time.Millisecond)))
-	o.mu.Unlock()
+	o.events = append(o.events, fmt.Sprintf("%v: %s", time.Since(o.began).Round(time.Millisecond), description))
 	o.done.Go(func() {
-		e.happen(o, target, d)
-		time.Sleep(300 * time.Millisecond)
+		event()
+		time.Sleep(eventPause)
 		o.mu.Lock()
 		defer o.mu.Unlock()
-		o.busy[key] = false
+		delete(o.busy, key)
 	})
+	return true
+}
+
+// server returns the backend server of the agent.
+func (o *order) server(agent string) *passThroughServer {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.servers[agent]
 }
 
 // openFlows opens flows until the end. Some may be refused or time out.
