Number the searches of each incarnation of an agent apart

Cause: rounds of searches began at 1 in each process, and answers do not name the asker's incarnation. A late answer to a search of the earlier one could count as a denial of other flows (found by the review, by reading).

They begin at the incarnation's instance now. TestSearchesOfIncarnationsDiffer failed before.

--- a/arbutus-agent/agent/search.go
+++ b/arbutus-agent/agent/search.go
@@ -85,7 +85,8 @@
 	done := make(chan error, 1)
 	go func() {
 		running := make(chan struct{}, maxRounds)
-		for sequence := uint64(1); p.awaitSearch(ctx); sequence++ {
+		// Late answers to an earlier incarnation must not count.
+		for sequence := p.self().Instance; p.awaitSearch(ctx); sequence++ {
 			r := p.beginRound(sequence)
 			running <- struct{}{}
 			go func() {
--- a/arbutus-agent/agent/search_test.go
+++ b/arbutus-agent/agent/search_test.go
@@ -39,6 +39,8 @@
 	// holder holds all flows if it is not 0. silent is set while silentAgent doesn't answer.
 	holder uint64
 	silent bool
+	// lastSequence is that of the last search.
+	lastSequence uint64
 	// sent counts the messages to each agent.
 	sent  map[uint64]int
 	found map[ipv4.FlowKey]uint64
@@ -54,9 +56,14 @@
 }
 
 func runSearchers(t *testing.T, run func(s *searchers)) {
+	t.Helper()
+	runSearchersAs(t, memberOf(1), run)
+}
+
+// runSearchersAs is runSearchers with another incarnation of the agent that searches.
+func runSearchersAs(t *testing.T, self member.Member, run func(s *searchers)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		self := memberOf(1)
 		s := &searchers{
 			g: NewWithT(t), node: state.NewNode(self), sent: make(map[uint64]int),
 			found: make(map[ipv4.FlowKey]uint64), ended: make(map[ipv4.FlowKey]bool),
@@ -112,6 +119,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sent[instance]++
+	s.lastSequence = search.GetSequence()
 	if s.silent && instance == silentAgent {
 		return
 	}
@@ -223,6 +231,22 @@
 	})
 }
 
+// TestSearchesOfIncarnationsDiffer guards against a flow that counts as denied because of a late answer to
+// a search of the agent's earlier incarnation.
+func TestSearchesOfIncarnationsDiffer(t *testing.T) {
+	sequences := make(map[uint64]bool)
+	for _, instance := range []uint64{1, 1 << 20} {
+		self := memberOf(1)
+		self.Instance = instance
+		runSearchersAs(t, self, func(s *searchers) {
+			s.peers.Search(flowNumber(0), sequence, sequence+1)
+			time.Sleep(searchDelay + 3*oneWay)
+			sequences[s.lastSequence] = true
+		})
+	}
+	NewWithT(t).Expect(sequences).To(HaveLen(2))
+}
+
 // TestSearchMessagesAreBounded guards against messages whose number grows with that of flows times agents.
 func TestSearchMessagesAreBounded(t *testing.T) {
 	const flows = 1000
