--- a/arbutus-agent/agent/search_test.go
+++ b/arbutus-agent/agent/search_test.go
@@ -241,6 +241,8 @@
 		runSearchersAs(t, self, func(s *searchers) {
 			s.peers.Search(flowNumber(0), sequence, sequence+1)
 			time.Sleep(searchDelay + 3*oneWay)
+			s.mu.Lock()
+			defer s.mu.Unlock()
 			sequences[s.lastSequence] = true
 		})
 	}
